--- /dev/null
+++ b/cmd/sardinelever/main.go
@@ -0,0 +1,26 @@
+// Command sardinelever is a load balancer between callers and backend servers,
+// with the tools that its operators use.
+package main
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/alecthomas/kong"
+)
+
+type commands struct {
+	Run runCommand `cmd:"" help:"Run an entry instance."`
+	Try tryCommand `cmd:"" help:"Run a whole deployment inside this process and print an account."`
+}
+
+func main() {
+	var c commands
+	k := kong.Parse(&c, kong.Name("sardinelever"), kong.Description("Load balancer for servers whose load shifts in milliseconds."), kong.UsageOnError())
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	k.BindTo(ctx, (*context.Context)(nil))
+	k.FatalIfErrorf(k.Run())
+}
--- /dev/null
+++ b/internal/call/classifier/call.go
@@ -0,0 +1,20 @@
+package classifier
+
+import (
+	"time"
+
+	"sardinelever.example/sardinelever/internal/config/parser"
+	"sardinelever.example/sardinelever/internal/route/mapper"
+)
+
+// Call is what the filters know of one call.
+type Call struct {
+	Service    *mapper.Service
+	Rank       parser.Rank
+	Idempotent bool
+	Deadline   time.Time
+	Depth      int    // Levels of calls above this one.
+	Budget     int    // Retries that this call and all calls below it may still use.
+	Identity   string // Empty when the caller gave none.
+	Path       string // Path at the backend server.
+}
--- /dev/null
+++ b/internal/call/classifier/classifier.go
@@ -0,0 +1,112 @@
+package classifier
+
+import (
+	"net"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"sardinelever.example/sardinelever/internal/config/parser"
+	"sardinelever.example/sardinelever/internal/route/mapper"
+)
+
+// MaxDepth is the deepest call that is accepted: the deepest known is 27.
+const MaxDepth = 32
+
+const defaultDeadline = 10 * time.Second
+
+// Sentinels of calls that cannot be classified.
+var (
+	ErrService = errors.New("no service matches host or path")
+	ErrHeader  = errors.New("header is invalid")
+)
+
+// Classify finds service and route of r in m; now is the time of arrival.
+func Classify(m *mapper.Map, r *http.Request, now time.Time) (*Call, error) {
+	s, path := find(m, r)
+	if s == nil {
+		return nil, errors.Wrapf(ErrService, "%s %s", r.Host, r.URL.Path)
+	}
+	c := &Call{Service: s, Path: path, Identity: r.Header.Get("Sardine-Id")}
+	if c.Identity == "" {
+		c.Identity = r.Header.Get("Idempotency-Key")
+	}
+	deadline := c.route(r)
+	if err := c.headers(r, now, deadline); err != nil {
+		return nil, err
+	}
+	return c, nil
+}
+
+func find(m *mapper.Map, r *http.Request) (s *mapper.Service, path string) {
+	host := r.Host
+	if h, _, err := net.SplitHostPort(host); err == nil {
+		host = h
+	}
+	for _, s := range m.Services {
+		if slices.Contains(s.Hosts, host) {
+			return s, r.URL.Path
+		}
+	}
+	name, rest, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/"), "/")
+	return m.Services[name], "/" + rest
+}
+
+// route applies the first matching route and returns its deadline; without a
+// match a call is normal and non-idempotent, the safe assumption.
+func (c *Call) route(r *http.Request) time.Duration {
+	c.Rank = parser.Normal
+	deadline := c.Service.Deadline.Std()
+	if deadline == 0 {
+		deadline = defaultDeadline
+	}
+	for i := range c.Service.Routes {
+		t := &c.Service.Routes[i]
+		if !strings.HasPrefix(c.Path, t.Path) || len(t.Methods) > 0 && !slices.Contains(t.Methods, r.Method) {
+			continue
+		}
+		c.Rank, c.Idempotent = t.Rank, t.Idempotent
+		if t.Deadline != 0 {
+			deadline = t.Deadline.Std()
+		}
+		break
+	}
+	return deadline
+}
+
+func (c *Call) headers(r *http.Request, now time.Time, deadline time.Duration) error {
+	if v := r.Header.Get("Sardine-Rank"); v != "" {
+		var rank parser.Rank
+		if err := rank.UnmarshalText([]byte(v)); err != nil {
+			return errors.Wrapf(ErrHeader, "Sardine-Rank: %v", err)
+		}
+		c.Rank = max(c.Rank, rank)
+	}
+	left, err := number(r, "Sardine-Deadline", int(deadline.Milliseconds()), 24*60*60*1000)
+	if err != nil {
+		return err
+	}
+	c.Deadline = now.Add(min(deadline, time.Duration(left)*time.Millisecond))
+	if c.Depth, err = number(r, "Sardine-Depth", 0, MaxDepth); err != nil {
+		return err
+	}
+	c.Budget, err = number(r, "Sardine-Budget", 1, MaxDepth)
+	return err
+}
+
+// number reads a header with a value from 0 to limit, or returns preset when there is none.
+func number(r *http.Request, name string, preset, limit int) (int, error) {
+	v := r.Header.Get(name)
+	if v == "" {
+		return preset, nil
+	}
+	n, err := strconv.Atoi(v)
+	if err != nil || n < 0 || n > limit {
+		return 0, errors.Wrapf(ErrHeader, "%s: %q is not a number from 0 to %d", name, v, limit)
+	}
+	return n, nil
+}
--- /dev/null
+++ b/internal/call/classifier/doc.go
@@ -0,0 +1,3 @@
+// Package classifier is the first filter of a call: it finds the service and
+// the route and reads rank, deadline, depth and identity.
+package classifier
--- /dev/null
+++ b/internal/config/parser/rank.go
@@ -0,0 +1,43 @@
+package parser
+
+import "github.com/pkg/errors"
+
+// Rank is the priority of a call; a lower value is more urgent.
+type Rank uint8
+
+// The ranks, most urgent first.
+const (
+	Urgent Rank = iota
+	Normal
+	Patient
+)
+
+// Ranks is the number of ranks.
+const Ranks = 3
+
+// ErrRank reports text that names no rank.
+var ErrRank = errors.New("rank is none of urgent, normal, patient")
+
+var rankNames = [Ranks]string{"urgent", "normal", "patient"}
+
+// String returns the name of r in settings, headers and metrics.
+func (r Rank) String() string {
+	if int(r) >= len(rankNames) {
+		return "invalid"
+	}
+	return rankNames[r]
+}
+
+// MarshalText encodes r as its name.
+func (r Rank) MarshalText() ([]byte, error) { return []byte(r.String()), nil }
+
+// UnmarshalText decodes the name of a rank; it returns ErrRank for any other text.
+func (r *Rank) UnmarshalText(text []byte) error {
+	for i, name := range rankNames {
+		if name == string(text) {
+			*r = Rank(i)
+			return nil
+		}
+	}
+	return errors.Wrapf(ErrRank, "%q", text)
+}
--- /dev/null
+++ b/internal/config/parser/settings.go
@@ -0,0 +1,24 @@
+package parser
+
+import "net/netip"
+
+// Settings configures one entry instance.
+type Settings struct {
+	Name     string         `toml:"name"`
+	Zone     string         `toml:"zone"`
+	Region   string         `toml:"region,omitempty"` // Empty means "home".
+	Callers  netip.AddrPort `toml:"callers"`          // Listener for callers.
+	Peers    netip.AddrPort `toml:"peers"`            // Listener for other instances.
+	Operator netip.AddrPort `toml:"operator"`         // Listener for operators.
+	Platform string         `toml:"platform"`         // Base URL of the platform.
+	Notice   Duration       `toml:"notice,omitempty"` // Time between readiness false and closing the listener; 0 means 5s.
+	Plain    bool           `toml:"plain,omitempty"`  // Plain allows unencrypted links between instances.
+	TLS      TLS            `toml:"tls"`
+}
+
+// TLS names the key files for links between instances.
+type TLS struct {
+	Cert string `toml:"cert,omitempty"`
+	Key  string `toml:"key,omitempty"`
+	CA   string `toml:"ca,omitempty"`
+}
--- /dev/null
+++ b/internal/instance/runner/pipe.go
@@ -0,0 +1,73 @@
+package runner
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"sardinelever.example/sardinelever/internal/call/answerer"
+	"sardinelever.example/sardinelever/internal/call/classifier"
+	"sardinelever.example/sardinelever/internal/call/sender"
+	"sardinelever.example/sardinelever/internal/route/asker"
+	"sardinelever.example/sardinelever/internal/route/mapper"
+)
+
+// pipe moves a call through its filters.
+type pipe struct {
+	maps   *mapper.Holder
+	asker  *asker.Asker
+	sender sender.Sender
+}
+
+// ServeHTTP classifies a call, acquires a slot, sends the call and answers.
+func (p *pipe) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	c, err := classifier.Classify(p.maps.Load(), r, time.Now())
+	if err != nil {
+		status := http.StatusBadRequest
+		if errors.Is(err, classifier.ErrService) {
+			status = http.StatusNotFound
+		}
+		answerer.Report(w, sender.Rejected, status, err.Error(), 0)
+		return
+	}
+	ctx, cancel := context.WithDeadline(r.Context(), c.Deadline)
+	defer cancel()
+	slot, err := p.asker.Acquire(ctx, asker.Need{Service: c.Service.Name, Rank: c.Rank, Deadline: c.Deadline})
+	if err != nil {
+		var f *asker.Refusal
+		if !errors.As(err, &f) {
+			f = &asker.Refusal{Reason: "late"}
+		}
+		answerer.Report(w, sender.Rejected, http.StatusServiceUnavailable, f.Reason, f.After)
+		return
+	}
+	p.send(ctx, w, r, c, slot)
+}
+
+func (p *pipe) send(ctx context.Context, w http.ResponseWriter, r *http.Request, c *classifier.Call, slot *asker.Slot) {
+	start := time.Now()
+	resp, err := p.sender.Send(ctx, slot.Server, c, r, 1)
+	result := asker.Result{Failed: err != nil, Busy: -1}
+	defer func() {
+		result.Latency = time.Since(start)
+		slot.Release(result)
+	}()
+	if err == nil {
+		answerer.Copy(w, resp)
+		return
+	}
+	if resp != nil {
+		_ = resp.Body.Close()
+	}
+	var f *sender.Failure
+	if !errors.As(err, &f) {
+		f = &sender.Failure{Outcome: sender.Unknown, Reason: "read"}
+	}
+	status := http.StatusBadGateway
+	if f.Outcome == sender.Rejected {
+		status = http.StatusServiceUnavailable
+	}
+	answerer.Report(w, f.Outcome, status, f.Reason, time.Second)
+}
--- /dev/null
+++ b/internal/platform/reader/client.go
@@ -0,0 +1,98 @@
+package reader
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/dghubble/sling"
+	"github.com/pkg/errors"
+)
+
+// MaxValue is the largest value that the configuration service holds, in bytes.
+const MaxValue = 1 << 20
+
+// ErrPlatform reports that the platform gave no usable answer.
+var ErrPlatform = errors.New("platform gave no usable answer")
+
+// Value is a value of the configuration service and its revision there.
+type Value struct {
+	Revision uint64
+	Text     []byte
+}
+
+// Client reads from the platform over HTTP; Base is its URL.
+type Client struct {
+	Base string
+	HTTP *http.Client // nil means http.DefaultClient.
+}
+
+type watch struct {
+	After uint64 `url:"after"`
+	Wait  string `url:"wait"`
+}
+
+// Config returns the bundle when its revision differs from after. It waits for
+// a change for up to wait and returns nil when there was none.
+func (c *Client) Config(ctx context.Context, after uint64, wait time.Duration) (*Value, error) {
+	q := watch{After: after, Wait: wait.String()}
+	req, err := c.sling().Get("config").QueryStruct(q).Request()
+	if err != nil {
+		return nil, errors.Wrap(err, "config request")
+	}
+	resp, err := c.client().Do(req.WithContext(ctx))
+	if err != nil {
+		return nil, errors.Wrapf(ErrPlatform, "config: %v", err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode == http.StatusNotModified {
+		return nil, nil
+	}
+	if resp.StatusCode != http.StatusOK {
+		return nil, errors.Wrapf(ErrPlatform, "config: status %d", resp.StatusCode)
+	}
+	return readValue(resp)
+}
+
+// List returns the platform's list.
+func (c *Client) List(ctx context.Context) (*List, error) {
+	req, err := c.sling().Get("list").Request()
+	if err != nil {
+		return nil, errors.Wrap(err, "list request")
+	}
+	l := new(List)
+	resp, err := c.sling().Client(c.client()).Do(req.WithContext(ctx), l, nil)
+	if err != nil {
+		return nil, errors.Wrapf(ErrPlatform, "list: %v", err)
+	}
+	if resp.StatusCode != http.StatusOK {
+		return nil, errors.Wrapf(ErrPlatform, "list: status %d", resp.StatusCode)
+	}
+	return l, nil
+}
+
+func (c *Client) sling() *sling.Sling { return sling.New().Base(c.Base + "/") }
+
+func (c *Client) client() *http.Client {
+	if c.HTTP == nil {
+		return http.DefaultClient
+	}
+	return c.HTTP
+}
+
+func readValue(resp *http.Response) (*Value, error) {
+	text, err := io.ReadAll(io.LimitReader(resp.Body, MaxValue+1))
+	if err != nil {
+		return nil, errors.Wrapf(ErrPlatform, "config: %v", err)
+	}
+	if len(text) > MaxValue {
+		return nil, errors.Wrapf(ErrPlatform, "config: value exceeds %d bytes", MaxValue)
+	}
+	rev, err := strconv.ParseUint(resp.Header.Get("Revision"), 10, 64)
+	if err != nil {
+		return nil, errors.Wrapf(ErrPlatform, "config: revision: %v", err)
+	}
+	return &Value{Revision: rev, Text: text}, nil
+}
--- /dev/null
+++ b/internal/route/asker/doc.go
@@ -0,0 +1,2 @@
+// Package asker obtains slots of backend servers for calls.
+package asker
