--- /dev/null
+++ b/internal/flow/ringer/ring_test.go
@@ -0,0 +1,31 @@
+package ringer_test
+
+import (
+	"slices"
+	"testing"
+
+	"sardinelever.example/sardinelever/internal/flow/ringer"
+)
+
+// TestRing guards against a ring that loses the order of its values or grows
+// beyond its size.
+func TestRing(t *testing.T) {
+	for _, tc := range []struct {
+		name string
+		puts int
+		want []int
+	}{
+		{"empty", 0, []int{}},
+		{"part", 2, []int{0, 1}},
+		{"full", 3, []int{0, 1, 2}},
+		{"wrapped", 7, []int{4, 5, 6}},
+	} {
+		r := &ringer.Ring[int]{Size: 3}
+		for i := range tc.puts {
+			r.Put(i)
+		}
+		if got := r.Values(); !slices.Equal(got, tc.want) {
+			t.Errorf("%s: got %v, want %v", tc.name, got, tc.want)
+		}
+	}
+}
