--- a/cmd/sardinelever/main.go
+++ b/cmd/sardinelever/main.go
@@ -12,8 +12,11 @@
 )
 
 type commands struct {
-	Run runCommand `cmd:"" help:"Run an entry instance."`
-	Try tryCommand `cmd:"" help:"Run a whole deployment inside this process and print an account."`
+	Run     runCommand     `cmd:"" help:"Run an entry instance."`
+	Status  statusCommand  `cmd:"" help:"Print an instance's view of configuration, fleet and backend servers."`
+	Audit   auditCommand   `cmd:"" help:"Print an instance's audit trail of changes."`
+	Explain explainCommand `cmd:"" help:"Print what an instance would do with a call."`
+	Try     tryCommand     `cmd:"" help:"Run a whole deployment inside this process and print an account."`
 }
 
 func main() {
--- /dev/null
+++ b/cmd/sardinelever/operator.go
@@ -0,0 +1,78 @@
+package main
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/netip"
+	"os"
+	"time"
+
+	"github.com/dghubble/sling"
+	"github.com/pkg/errors"
+)
+
+// operatorFlags name the instance that a command asks.
+type operatorFlags struct {
+	Operator netip.AddrPort `default:"127.0.0.1:9090" help:"Operators' listener of the instance."`
+}
+
+type statusCommand struct{ operatorFlags }
+
+// Run prints the view of an instance.
+func (c *statusCommand) Run(ctx context.Context) error {
+	return c.print(ctx, "status", nil)
+}
+
+type auditCommand struct{ operatorFlags }
+
+// Run prints the audit trail of an instance.
+func (c *auditCommand) Run(ctx context.Context) error {
+	return c.print(ctx, "audit", nil)
+}
+
+type explainCommand struct {
+	operatorFlags
+	Method string `arg:"" help:"Method of the call."`
+	Path   string `arg:"" help:"Path of the call."`
+	Rank   string `help:"Rank that the caller asks for." enum:"urgent,normal,patient," default:""`
+	Host   string `help:"Host value of the call."`
+}
+
+type explainQuery struct {
+	Method string `url:"method"`
+	Path   string `url:"path"`
+	Rank   string `url:"rank,omitempty"`
+	Host   string `url:"host,omitempty"`
+}
+
+// Run prints what an instance would do with a call now.
+func (c *explainCommand) Run(ctx context.Context) error {
+	return c.print(ctx, "explain", &explainQuery{c.Method, c.Path, c.Rank, c.Host})
+}
+
+// operatorTimeout bounds a question to an instance, which answers from memory.
+const operatorTimeout = 5 * time.Second
+
+func (f *operatorFlags) print(ctx context.Context, path string, query any) error {
+	s := sling.New().Base("http://" + f.Operator.String()).Get(path)
+	if query != nil {
+		s = s.QueryStruct(query)
+	}
+	req, err := s.Request()
+	if err != nil {
+		return errors.Wrap(err, path)
+	}
+	ctx, cancel := context.WithTimeout(ctx, operatorTimeout)
+	defer cancel()
+	resp, err := http.DefaultClient.Do(req.WithContext(ctx))
+	if err != nil {
+		return errors.Wrapf(err, "instance at %s does not answer", f.Operator)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode != http.StatusOK {
+		return errors.Errorf("instance at %s: %s", f.Operator, resp.Status)
+	}
+	_, err = io.Copy(os.Stdout, resp.Body)
+	return errors.Wrap(err, path)
+}
--- /dev/null
+++ b/internal/operator/meter/meter.go
@@ -0,0 +1,38 @@
+package meter
+
+import (
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+)
+
+// Meter holds the metrics that the filters of a call update. Label sets are
+// bounded by the number of services, ranks and outcomes.
+type Meter struct {
+	Calls    *prometheus.CounterVec   // By service, rank and outcome.
+	Latency  *prometheus.HistogramVec // Seconds from accept to the end of the answer, by service and rank.
+	Attempts *prometheus.CounterVec   // Sends to backend servers, by service and kind: first, retry, hedge.
+	Wait     *prometheus.HistogramVec // Seconds that a call waited for a slot, by service and rank.
+}
+
+// Register creates the metrics in r, with those of the process and the Go runtime.
+func Register(r *prometheus.Registry) *Meter {
+	m := &Meter{
+		Calls: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "sardinelever_calls_total", Help: "Calls answered, by outcome: served, rejected, unknown, failed.",
+		}, []string{"service", "rank", "outcome"}),
+		Latency: histogram("sardinelever_call_seconds", "Time from accept to the end of the answer."),
+		Attempts: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "sardinelever_attempts_total", Help: "Sends to backend servers, by kind: first, retry, hedge.",
+		}, []string{"service", "kind"}),
+		Wait: histogram("sardinelever_wait_seconds", "Time that a call waited for a slot."),
+	}
+	r.MustRegister(m.Calls, m.Latency, m.Attempts, m.Wait,
+		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	return m
+}
+
+func histogram(name, help string) *prometheus.HistogramVec {
+	return prometheus.NewHistogramVec(prometheus.HistogramOpts{
+		Name: name, Help: help, Buckets: prometheus.ExponentialBuckets(0.00025, 2, 18),
+	}, []string{"service", "rank"})
+}
--- /dev/null
+++ b/internal/operator/reporter/doc.go
@@ -0,0 +1,3 @@
+// Package reporter serves the operators' listener: readiness, status, audit
+// trail and explanations as plain text, metrics and profiles.
+package reporter
--- /dev/null
+++ b/internal/operator/reporter/reporter.go
@@ -0,0 +1,90 @@
+package reporter
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/pprof"
+	"text/tabwriter"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"sardinelever.example/sardinelever/internal/operator/auditor"
+)
+
+// Section is one part of the status; a line is a word for its kind and
+// key=value pairs or columns separated by tabs.
+type Section interface {
+	Report(w io.Writer)
+}
+
+// Explainer says what the instance would do with a call.
+type Explainer interface {
+	Explain(w io.Writer, r *http.Request)
+}
+
+// Reporter is the handler of the operators' listener; the fields are set before it serves.
+type Reporter struct {
+	Ready    func() bool
+	Sections []Section
+	Explain  Explainer
+	Audit    *auditor.Auditor
+	Registry *prometheus.Registry
+}
+
+// Handler returns the paths of the operators' listener.
+func (p *Reporter) Handler() http.Handler {
+	m := http.NewServeMux()
+	m.HandleFunc("GET /ready", p.serveReady)
+	m.HandleFunc("GET /status", p.serveStatus)
+	m.HandleFunc("GET /audit", p.serveAudit)
+	m.HandleFunc("GET /explain", p.serveExplain)
+	m.Handle("GET /metrics", promhttp.HandlerFor(p.Registry, promhttp.HandlerOpts{}))
+	m.HandleFunc("/debug/pprof/", pprof.Index)
+	m.HandleFunc("/debug/pprof/profile", pprof.Profile)
+	m.HandleFunc("/debug/pprof/trace", pprof.Trace)
+	return m
+}
+
+func (p *Reporter) serveReady(w http.ResponseWriter, _ *http.Request) {
+	if !p.Ready() {
+		http.Error(w, "not ready", http.StatusServiceUnavailable)
+		return
+	}
+	_, _ = io.WriteString(w, "ready\n")
+}
+
+func (p *Reporter) serveStatus(w http.ResponseWriter, _ *http.Request) {
+	writeTable(w, func(w io.Writer) {
+		for _, s := range p.Sections {
+			s.Report(w)
+		}
+	})
+}
+
+func (p *Reporter) serveAudit(w http.ResponseWriter, _ *http.Request) {
+	writeTable(w, func(w io.Writer) {
+		for _, c := range p.Audit.Changes() {
+			_, _ = fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t->\t%s\n",
+				c.Time.UTC().Format(time.RFC3339Nano), c.Part, c.Subject, c.Cause, c.Before, c.After)
+		}
+	})
+}
+
+func (p *Reporter) serveExplain(w http.ResponseWriter, r *http.Request) {
+	writeTable(w, func(w io.Writer) { p.Explain.Explain(w, r) })
+}
+
+// writeTable aligns the columns that write separates by tabs. The text is
+// built whole before it is sent so that a slow reader holds no lock of a section.
+func writeTable(w http.ResponseWriter, write func(io.Writer)) {
+	var b bytes.Buffer
+	t := tabwriter.NewWriter(&b, 0, 0, 2, ' ', 0)
+	write(t)
+	_ = t.Flush()
+	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+	_, _ = w.Write(b.Bytes())
+}
