--- /dev/null
+++ b/internal/instance/detector/detector_test.go
@@ -0,0 +1,26 @@
+package detector_test
+
+import (
+	"testing"
+	"time"
+
+	"sardinelever.example/sardinelever/internal/instance/detector"
+)
+
+// TestCheck guards against a process that wakes after a pause and decides by
+// facts from before it.
+func TestCheck(t *testing.T) {
+	now := time.Unix(1000, 0)
+	var got []time.Duration
+	d := &detector.Detector{
+		Now:    func() time.Time { return now },
+		Paused: func(gap time.Duration) { got = append(got, gap) },
+	}
+	for _, step := range []time.Duration{0, 100 * time.Millisecond, time.Second, 30 * time.Second, time.Millisecond} {
+		now = now.Add(step)
+		d.Check()
+	}
+	if want := 30 * time.Second; len(got) != 1 || got[0] != want {
+		t.Errorf("got pauses %v, want one of %v", got, want)
+	}
+}
