Report every mistake of a configuration file at once

Cause: the parser stopped at the first wrong value and checked no values. Change: an index of key positions gives each check its line; values of a wrong type are blanked out and the rest is decoded again; checks of services, bundles and settings; defaults in one file; probe keys total and period. A rank is required on each route, because the zero value is urgent.

--- a/internal/config/parser/decode.go
+++ b/internal/config/parser/decode.go
@@ -2,48 +2,77 @@
 
 import (
 	"bytes"
+	"cmp"
+	"slices"
 	"strings"
 
 	"github.com/pelletier/go-toml/v2"
 	"github.com/pkg/errors"
 )
 
-// Mistake is one fault of a file.
-type Mistake struct {
-	File   string
-	Line   int // 0 when the fault belongs to no line.
-	Key    string
-	Reason string
-}
-
-// MistakesError lists every fault that was found in a file.
-type MistakesError struct{ Mistakes []Mistake }
+// maxMistakes bounds the values of a wrong type that one pass reports: each costs another decoding.
+const maxMistakes = 50
 
-// Error returns one line for each mistake.
-func (e *MistakesError) Error() string {
-	lines := make([]string, len(e.Mistakes))
-	for i, m := range e.Mistakes {
-		lines[i] = m.String()
-	}
-	return strings.Join(lines, "\n")
+// File is the text of a file and the name used in errors.
+type File struct {
+	Name string
+	Text []byte
 }
 
-// ParseBundle decodes a bundle; file is the name used in errors.
+// ParseBundle decodes and checks a bundle and applies the defaults; file is
+// the name used in errors. The checks depend on text alone, so every instance
+// comes to the same result. The error is a *MistakesError.
 func ParseBundle(file string, text []byte) (*Bundle, error) {
 	b := new(Bundle)
-	if err := decode(file, text, b); err != nil {
+	c := decode(file, text, b)
+	c.bundle(b)
+	if err := c.err(); err != nil {
 		return nil, err
 	}
+	for i := range b.Services {
+		b.Services[i] = b.Services[i].WithDefaults()
+	}
 	return b, nil
 }
 
-// ParseSettings decodes the settings of an instance; file is the name used in errors.
+// ParseService decodes and checks one service file; keys that it leaves out stay zero.
+func ParseService(file string, text []byte) (*Service, error) {
+	s, err := ParseServices([]File{{Name: file, Text: text}})
+	if err != nil {
+		return nil, err
+	}
+	return &s[0], nil
+}
+
+// ParseServices decodes and checks service files, also against each other,
+// and reports the mistakes of all of them. Keys that a file leaves out stay zero.
+func ParseServices(files []File) ([]Service, error) {
+	services := make([]Service, len(files))
+	all := new(MistakesError)
+	u := make(unique)
+	for i, f := range files {
+		c := decode(f.Name, f.Text, &services[i])
+		c.service("", &services[i])
+		c.unique("", &services[i], u)
+		all.Mistakes = append(all.Mistakes, c.sorted()...)
+	}
+	if len(all.Mistakes) > 0 {
+		return nil, all
+	}
+	return services, nil
+}
+
+// ParseSettings decodes and checks the settings of an instance and applies the
+// defaults; file is the name used in errors. The error is a *MistakesError.
 func ParseSettings(file string, text []byte) (*Settings, error) {
 	s := new(Settings)
-	if err := decode(file, text, s); err != nil {
+	c := decode(file, text, s)
+	c.settings(s)
+	if err := c.err(); err != nil {
 		return nil, err
 	}
-	return s, nil
+	out := s.WithDefaults()
+	return &out, nil
 }
 
 // FormatBundle encodes b as TOML.
@@ -52,28 +81,74 @@
 	return text, errors.Wrap(err, "bundle cannot be encoded")
 }
 
-func decode(file string, text []byte, into any) error {
-	d := toml.NewDecoder(bytes.NewReader(text)).DisallowUnknownFields()
-	err := d.Decode(into)
-	if err == nil {
-		return nil
-	}
-	var strict *toml.StrictMissingError
-	if errors.As(err, &strict) {
-		e := new(MistakesError)
-		for i := range strict.Errors {
-			e.Mistakes = append(e.Mistakes, mistake(file, &strict.Errors[i], "unknown key"))
+// checker collects the mistakes of one file.
+type checker struct {
+	file     string
+	index    *index
+	wrong    map[string]bool // Paths that already have a mistake.
+	broken   bool            // The file is not TOML, so checks of its values make no sense.
+	mistakes []Mistake
+}
+
+// decode reads text into a struct. The decoder stops at the first value of a
+// wrong type, so that value is blanked out and the text decoded again.
+func decode(file string, text []byte, into any) *checker {
+	c := &checker{file: file, index: newIndex(text), wrong: make(map[string]bool)}
+	rest := bytes.Clone(text)
+	for range maxMistakes {
+		err := toml.NewDecoder(bytes.NewReader(rest)).DisallowUnknownFields().Decode(into)
+		if err == nil {
+			return c
+		}
+		var strict *toml.StrictMissingError
+		if errors.As(err, &strict) {
+			c.unknown(strict)
+			return c
+		}
+		var e *toml.DecodeError
+		if !errors.As(err, &e) {
+			c.mistakes = append(c.mistakes, Mistake{File: file, Reason: reason(err)})
+			break
 		}
-		return e
+		line, _ := e.Position()
+		i, ok := c.index.find(line)
+		if !ok || c.index.current.Error() != nil || c.blanked(i) {
+			c.mistakes = append(c.mistakes, Mistake{File: file, Line: line, Key: strings.Join(e.Key(), "."), Reason: reason(err)})
+			break
+		}
+		p := c.index.pairs[i]
+		c.mistakes = append(c.mistakes, Mistake{File: file, Line: line, Key: shown(p.path), Reason: reason(err)})
+		c.wrong[p.path] = true
+		c.index.blank(rest, i)
 	}
-	var syntax *toml.DecodeError
-	if errors.As(err, &syntax) {
-		return &MistakesError{Mistakes: []Mistake{mistake(file, syntax, syntax.Error())}}
+	c.broken = true
+	return c
+}
+
+// blanked reports whether pair i already has a mistake, so that blanking it cannot help.
+func (c *checker) blanked(i int) bool {
+	line := c.index.pairs[i].line
+	return slices.ContainsFunc(c.mistakes, func(m Mistake) bool { return m.Line == line })
+}
+
+func (c *checker) unknown(e *toml.StrictMissingError) {
+	for i := range e.Errors {
+		line, _ := e.Errors[i].Position()
+		c.mistakes = append(c.mistakes, Mistake{File: c.file, Line: line, Key: strings.Join(e.Errors[i].Key(), "."), Reason: "unknown key"})
 	}
-	return &MistakesError{Mistakes: []Mistake{{File: file, Reason: err.Error()}}}
 }
 
-func mistake(file string, e *toml.DecodeError, reason string) Mistake {
-	line, _ := e.Position()
-	return Mistake{File: file, Line: line, Key: strings.Join(e.Key(), "."), Reason: reason}
+// sorted returns the mistakes in order of line.
+func (c *checker) sorted() []Mistake {
+	slices.SortStableFunc(c.mistakes, func(a, b Mistake) int { return cmp.Compare(a.Line, b.Line) })
+	return c.mistakes
 }
+
+func (c *checker) err() error {
+	if len(c.mistakes) == 0 {
+		return nil
+	}
+	return &MistakesError{Mistakes: c.sorted()}
+}
+
+func reason(err error) string { return strings.TrimPrefix(err.Error(), "toml: ") }
--- a/internal/config/parser/mistake.go
+++ b/internal/config/parser/mistake.go
@@ -1,6 +1,29 @@
 package parser
 
-import "fmt"
+import (
+	"fmt"
+	"strings"
+)
+
+// Mistake is one fault of a file.
+type Mistake struct {
+	File   string
+	Line   int // 0 when the fault belongs to no line.
+	Key    string
+	Reason string
+}
+
+// MistakesError lists every fault that was found in a file or several files.
+type MistakesError struct{ Mistakes []Mistake }
+
+// Error returns one line for each mistake.
+func (e *MistakesError) Error() string {
+	lines := make([]string, len(e.Mistakes))
+	for i, m := range e.Mistakes {
+		lines[i] = m.String()
+	}
+	return strings.Join(lines, "\n")
+}
 
 // String returns file, line, key and reason in one line.
 func (m Mistake) String() string {
--- /dev/null
+++ b/internal/config/parser/parser_test.go
@@ -0,0 +1,181 @@
+package parser_test
+
+import (
+	"os"
+	"path/filepath"
+	"reflect"
+	"strings"
+	"testing"
+	"time"
+
+	"sardinelever.example/sardinelever/internal/config/parser"
+)
+
+// TestMistakes guards against a check that misses a wrong value, hides it
+// behind another one, or names the wrong line.
+func TestMistakes(t *testing.T) {
+	text := read(t, "wrong.toml")
+	_, err := parser.ParseService("wrong.toml", text)
+	if err == nil {
+		t.Fatal("got no error")
+	}
+	if got, want := err.Error()+"\n", string(read(t, "wrong.txt")); got != want {
+		t.Errorf("got\n%s\nwant\n%s", got, want)
+	}
+}
+
+// TestShort guards against a common service that needs a long file, and
+// against defaults that are missing or overwrite what the file says.
+func TestShort(t *testing.T) {
+	s, err := parser.ParseService("short.toml", read(t, "short.toml"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.Routes[0].Deadline = parser.Duration(time.Second)
+	got := s.WithDefaults()
+	want := parser.Service{
+		Name: "guidance", Slots: 2, Connections: 250, Deadline: parser.Duration(10 * time.Second),
+		Floors: parser.Floors{Normal: 0.10, Patient: 0.05},
+		Queue:  parser.Queue{Calls: 64, Bytes: 64 << 20},
+		Probe: parser.Probe{
+			Path: "/load", Budget: parser.Duration(10 * time.Millisecond), Cost: parser.Duration(time.Millisecond),
+			Total: parser.Duration(100 * time.Millisecond), Period: parser.Duration(1200 * time.Millisecond),
+		},
+		Routes: []parser.Route{
+			{Path: "/lookup", Methods: []string{"GET"}, Idempotent: true, Deadline: parser.Duration(time.Second)},
+			{Path: "/", Rank: parser.Normal, Deadline: parser.Duration(10 * time.Second)},
+		},
+	}
+	if !reflect.DeepEqual(got, want) {
+		t.Errorf("got %+v, want %+v", got, want)
+	}
+}
+
+const guidance = "name = \"guidance\"\nslots = 2\n"
+
+// TestService guards against single mistakes of service files that pass.
+func TestService(t *testing.T) {
+	for _, c := range []struct{ text, want string }{
+		{guidance, ""},
+		{guidance + "slots = 3", "f:3: slots: key slots is already defined"},
+		{guidance + "slots.x = 3", "f:3: slots"},
+		{guidance + "[floors]\nnormal = nan", "f:4: floors.normal: NaN is not between"},
+		{guidance + "[floors]\npatient = 0", "f:4: floors.patient: 0 is not a floor"},
+		{guidance + "[floors]\nnormal = 0.46", "f:3: floors: normal 0.46 and patient 0.05 sum to over 0.5"},
+		{guidance + "[probe]\nbudget = \"1ms\"", "f:4: probe.budget: 1ms is below twice the cost of 1ms"},
+		{guidance + "[[routes]]\npath = \"/\"", "f:3: routes.rank: is required"},
+		{guidance + "[[routes]]\npath = \"/\"\nrank = \"urgent\"\n[[routes]]\npath = \"/a\"\nrank = \"normal\"", "f:6: routes: route \"/a\" can never match; earlier routes take its calls: /"},
+		{guidance + "connections = 1", "f:3: connections: 1 connections cannot serve 2 slots"},
+		{"name = \"sardine\"\nslots = 1", "f:1: name: \"sardine\" is reserved"},
+		{"slots = 1", "f: name: is required"},
+		{"name = \"a\nslots = 1", "f:1: "},
+		{guidance + "[probe]\n[probe]", "f:4: "},
+	} {
+		_, err := parser.ParseService("f", []byte(c.text))
+		check(t, c.text, err, c.want)
+	}
+}
+
+// TestBundle guards against bundles that instances could not serve.
+func TestBundle(t *testing.T) {
+	service := "[[services]]\n" + guidance
+	for _, c := range []struct{ text, want string }{
+		{"version = 2\nparent = 1\n" + service, ""},
+		{"version = 2\nparent = 1\n", "f: services: is required"},
+		{service, "f: version: is required"},
+		{"version = 0\n" + service, "f:1: version: must be above 0"},
+		{"version = 1\nparent = 1\n" + service, "f:2: parent: 1 is not below version 1"},
+		{"version = 1\n" + service + service, "f:6: services.name: service guidance is already defined at f:3"},
+		{"version = 1\n" + service + "hosts = [\"h\"]\n[[services]]\nname = \"b\"\nslots = 1\nhosts = [\"h\"]", "f:9: services.hosts: host h is already defined at f:5"},
+	} {
+		_, err := parser.ParseBundle("f", []byte(c.text))
+		check(t, c.text, err, c.want)
+	}
+}
+
+// TestServices guards against names and hosts that two files share.
+func TestServices(t *testing.T) {
+	_, err := parser.ParseServices([]parser.File{
+		{Name: "one", Text: []byte(guidance)}, {Name: "two", Text: []byte("\n" + guidance + "blue = 1")},
+	})
+	check(t, "two files", err, "two:2: name: service guidance is already defined at one:1\ntwo:4: blue: unknown key")
+}
+
+// TestSettings guards against an instance that starts with settings on which
+// it cannot serve, or with unencrypted links that nobody asked for.
+func TestSettings(t *testing.T) {
+	t.Chdir(t.TempDir())
+	for _, f := range []string{"c", "k"} {
+		if err := os.WriteFile(f, nil, 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	const base = "name = \"a1\"\nzone = \"a\"\ncallers = \"10.0.0.1:80\"\npeers = \"10.0.0.1:81\"\nplatform = \"http://p\"\n"
+	for _, c := range []struct{ text, want string }{
+		{base + "plain = true", ""},
+		{base, "f: tls.cert: is required unless plain = true\nf: tls.key: is required unless plain = true\nf: tls.ca: is required"},
+		{base + "[tls]\ncert = \"c\"\nkey = \"k\"\nca = \"none\"", "f:9: tls.ca: file cannot be read"},
+		{base + "plain = true\n[tls]\nkey = \"k\"", "f:8: tls.key: is not used with plain = true"},
+		{base + "plain = true\noperator = \"10.0.0.1:81\"", "f:7: operator: 10.0.0.1:81 is already used by peers"},
+		{base + "plain = true\nnotice = \"-1s\"", "f:7: notice: -1s is not between 1ms and 1h0m0s"},
+		{"plain = true\ncallers = \"host:80\"\npeers = \"0.0.0.0:1\"\nplatform = \"p\"", "f: name: is required\nf: zone: is required\nf:2: callers: "},
+	} {
+		_, err := parser.ParseSettings("f", []byte(c.text))
+		check(t, c.text, err, c.want)
+	}
+}
+
+// check compares the beginning of err, or expects none when want is empty.
+func check(t *testing.T, text string, err error, want string) {
+	t.Helper()
+	if err == nil {
+		if want != "" {
+			t.Errorf("%q: got no error, want %q", text, want)
+		}
+		return
+	}
+	if got := err.Error(); want == "" || !strings.HasPrefix(got, want) {
+		t.Errorf("%q: got %q, want %q", text, got, want)
+	}
+}
+
+func read(t testing.TB, name string) []byte {
+	t.Helper()
+	text, err := os.ReadFile(filepath.Join("testdata", name))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return text
+}
+
+// FuzzBundle guards against texts that stop the parser with a panic, and
+// against accepted bundles that change when they are written and read again.
+func FuzzBundle(f *testing.F) {
+	f.Fuzz(func(t *testing.T, text []byte) {
+		b, err := parser.ParseBundle("f", text)
+		if err != nil {
+			return
+		}
+		again, err := parser.FormatBundle(b)
+		if err != nil {
+			t.Fatal(err)
+		}
+		got, err := parser.ParseBundle("f", again)
+		if err != nil || !reflect.DeepEqual(got, b) {
+			t.Errorf("got %+v and error %v, want %+v from\n%s", got, err, b, again)
+		}
+	})
+}
+
+// FuzzService guards against service files that stop the parser with a panic
+// and against mistakes without a reason.
+func FuzzService(f *testing.F) {
+	f.Add(read(f, "short.toml"))
+	f.Add(read(f, "wrong.toml"))
+	f.Fuzz(func(t *testing.T, text []byte) {
+		_, err := parser.ParseService("f", text)
+		if err != nil && !strings.HasPrefix(err.Error(), "f") {
+			t.Errorf("got error %q without the file", err)
+		}
+	})
+}
--- a/internal/config/parser/service.go
+++ b/internal/config/parser/service.go
@@ -30,10 +30,10 @@
 	Slots       int      `toml:"slots"`                 // Calls that one backend server runs at a time.
 	Connections int      `toml:"connections,omitempty"` // Connections to one backend server over the whole fleet; 0 means 250.
 	Deadline    Duration `toml:"deadline,omitempty"`    // Default of the routes; 0 means 10s.
-	Floors      Floors   `toml:"floors"`
-	Queue       Queue    `toml:"queue"`
-	Probe       Probe    `toml:"probe"`
-	Routes      []Route  `toml:"routes"`
+	Floors      Floors   `toml:"floors,omitempty"`
+	Queue       Queue    `toml:"queue,omitempty"`
+	Probe       Probe    `toml:"probe,omitempty"`
+	Routes      []Route  `toml:"routes,omitempty"`
 }
 
 // Floors holds the shares of the slots that the lower ranks keep while higher ranks flood.
@@ -53,6 +53,8 @@
 	Path   string   `toml:"path,omitempty"`   // Path of the load endpoint; empty means /load.
 	Budget Duration `toml:"budget,omitempty"` // Probe time per second and backend server over the whole fleet; 0 means 10ms.
 	Cost   Duration `toml:"cost,omitempty"`   // Time that one probe costs a backend server; 0 means 1ms.
+	Total  Duration `toml:"total,omitempty"`  // Probe time per second over all backend servers of the service; 0 means 100ms.
+	Period Duration `toml:"period,omitempty"` // Time between two probes of a backend server; 0 means MinPeriod.
 }
 
 // Route gives the calls that match it their rank, deadline and whether they may be repeated.
