Bundle service files and keep the highest valid bundle in force

Cause: instances took any bundle that the platform answered, also an older one. Change: bundler (collect, size limit, diff, sum, version order, sections) and keeper (accepts only higher bundles, refuses invalid ones, audits displaced bundles and skipped parents). Before: no order.

--- /dev/null
+++ b/internal/config/bundler/bundler_test.go
@@ -0,0 +1,149 @@
+package bundler_test
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"sardinelever.example/sardinelever/internal/config/bundler"
+	"sardinelever.example/sardinelever/internal/config/parser"
+)
+
+// TestCollect guards against bundles whose text depends on the order of the
+// files, and against mistakes of one file that hide those of another.
+func TestCollect(t *testing.T) {
+	dir := t.TempDir()
+	write(t, dir, "1.toml", "name = \"stock\"\nslots = 6\n")
+	write(t, dir, "2.toml", "name = \"prices\"\nslots = 6\n")
+	text, err := bundler.Collect(dir, 4, 3)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got, want := string(text), "version = 4\nparent = 3\n\n[[services]]\nname = 'prices'\nslots = 6\n\n[[services]]\nname = 'stock'\nslots = 6\n"; got != want {
+		t.Errorf("got %q, want %q", got, want)
+	}
+	write(t, dir, "1.toml", "name = \"Stock\"\nslots = 6\n")
+	write(t, dir, "2.toml", "name = \"prices\"\nslots = 0\n")
+	_, err = bundler.Collect(dir, 4, 3)
+	var e *parser.MistakesError
+	if !errors.As(err, &e) || len(e.Mistakes) != 2 {
+		t.Errorf("got %v, want one mistake of each file", err)
+	}
+	if _, err := bundler.Collect(t.TempDir(), 1, 0); !errors.Is(err, bundler.ErrFolder) {
+		t.Errorf("got %v, want %v", err, bundler.ErrFolder)
+	}
+}
+
+// TestSize guards against a bundle that the configuration service cannot hold
+// and an error that does not tell which services to shorten.
+func TestSize(t *testing.T) {
+	var services []parser.Service
+	for i := range 7 {
+		s := parser.Service{Name: fmt.Sprintf("s%d", i), Slots: 1}
+		for j := range 1000 * i {
+			s.Hosts = append(s.Hosts, fmt.Sprintf("%s-%040d.example", s.Name, j))
+		}
+		services = append(services, s)
+	}
+	_, err := bundler.Bundle(services, 1, 0)
+	var e *bundler.SizeError
+	if !errors.As(err, &e) {
+		t.Fatalf("got %v, want a SizeError", err)
+	}
+	var names []string
+	for _, s := range e.Largest {
+		names = append(names, s.Service)
+	}
+	if want := []string{"s6", "s5", "s4", "s3", "s2"}; !slices.Equal(names, want) {
+		t.Errorf("got %v, want %v", names, want)
+	}
+}
+
+// TestSections guards against a bundle that differs after it was sent in
+// sections, which would give it another sum on the receiver.
+func TestSections(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		line := rapid.SampledFrom([]string{"[[services]]", "[[services.routes]]", "name = 'a'", "", "version = 3", "\r", "x = '''"})
+		text := []byte(strings.Join(rapid.SliceOf(line).Draw(t, "lines"), "\n"))
+		sections := bundler.Split(text)
+		if got := bundler.Join(sections); string(got) != string(text) {
+			t.Fatalf("got %q, want %q", got, text)
+		}
+		cut := rapid.IntRange(0, len(sections)).Draw(t, "cut")
+		have, sums := sections[:cut], bundler.Sums(sections)
+		var received [][]byte
+		for _, sum := range bundler.Missing(sums, have) {
+			received = append(received, sections[slices.Index(sums, sum)])
+		}
+		got, err := bundler.Assemble(sums, have, received)
+		if err != nil || string(got) != string(text) {
+			t.Fatalf("got %q and error %v, want %q", got, err, text)
+		}
+	})
+}
+
+// TestAssemble guards against a partial bundle taken as whole, and against a
+// manifest that repeats one section until memory is full.
+func TestAssemble(t *testing.T) {
+	if _, err := bundler.Assemble([]uint64{1}, nil, nil); !errors.Is(err, bundler.ErrSection) {
+		t.Errorf("got %v, want %v", err, bundler.ErrSection)
+	}
+	big := make([]byte, bundler.MaxSize/2+1)
+	sum := bundler.Sum(big)
+	var e *bundler.SizeError
+	if _, err := bundler.Assemble([]uint64{sum, sum}, [][]byte{big}, nil); !errors.As(err, &e) {
+		t.Errorf("got %v, want a SizeError", err)
+	}
+}
+
+// TestVersion guards against an order in which two instances disagree.
+func TestVersion(t *testing.T) {
+	order := []bundler.Version{{}, {Number: 1, Sum: 9}, {Number: 2, Sum: 3}, {Number: 2, Sum: 1 << 63}, {Number: 1 << 40}}
+	for i, v := range order {
+		for j, w := range order {
+			if got, want := v.Compare(w), max(-1, min(1, i-j)); got != want {
+				t.Errorf("%v and %v: got %d, want %d", v, w, got, want)
+			}
+		}
+	}
+}
+
+// TestDiff guards against changes that a reviewer is not shown.
+func TestDiff(t *testing.T) {
+	before := &parser.Bundle{Services: []parser.Service{
+		{Name: "a", Slots: 2, Routes: []parser.Route{{Path: "/x"}, {Path: "/y"}}}, {Name: "b", Slots: 1}, {Name: "c", Slots: 1},
+	}}
+	after := &parser.Bundle{Services: []parser.Service{
+		{Name: "a", Slots: 3, Hosts: []string{"h"}, Deadline: parser.Duration(time.Second), Routes: []parser.Route{{Path: "/x", Rank: parser.Patient}}},
+		{Name: "b", Slots: 1}, {Name: "d", Slots: 1},
+	}}
+	got, err := bundler.Diff(before, after)
+	want := `~ a
+    + deadline = "1s"
+    + hosts = ["h"]
+    routes.1.rank: "urgent" -> "patient"
+    - routes.2.idempotent = false
+    - routes.2.path = "/y"
+    - routes.2.rank = "urgent"
+    slots: 2 -> 3
+- c
++ d
+`
+	if err != nil || got != want {
+		t.Errorf("got %s and error %v, want %s", got, err, want)
+	}
+}
+
+func write(t *testing.T, dir, name, text string) {
+	t.Helper()
+	if err := os.WriteFile(filepath.Join(dir, name), []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+}
--- /dev/null
+++ b/internal/config/bundler/collect.go
@@ -0,0 +1,111 @@
+package bundler
+
+import (
+	"bytes"
+	"cmp"
+	"fmt"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+
+	"github.com/pkg/errors"
+
+	"sardinelever.example/sardinelever/internal/config/parser"
+)
+
+// MaxSize is the largest bundle in bytes; it is the largest value of the configuration service.
+const MaxSize = 1 << 20
+
+// named is the number of services that a SizeError names.
+const named = 5
+
+// ErrFolder reports a folder without service files.
+var ErrFolder = errors.New("folder holds no service file")
+
+// SizeError reports a bundle over MaxSize.
+type SizeError struct {
+	Size    int
+	Largest []Size // The largest services, largest first.
+}
+
+// Size is the size of the section of a service in bytes.
+type Size struct {
+	Service string
+	Bytes   int
+}
+
+// Error names size, limit and the largest services.
+func (e *SizeError) Error() string {
+	parts := make([]string, len(e.Largest))
+	for i, s := range e.Largest {
+		parts[i] = fmt.Sprintf("%s %d bytes", s.Service, s.Bytes)
+	}
+	return fmt.Sprintf("bundle has %d bytes, the limit is %d; largest services: %s", e.Size, MaxSize, strings.Join(parts, ", "))
+}
+
+// Collect makes the text of a bundle from the service files *.toml of folder.
+// The error is a *parser.MistakesError with the mistakes of all files, a
+// *SizeError, ErrFolder or the error of reading a file.
+func Collect(folder string, version, parent uint64) ([]byte, error) {
+	names, err := filepath.Glob(filepath.Join(folder, "*.toml"))
+	if err != nil {
+		return nil, errors.Wrapf(err, "folder %q", folder)
+	}
+	if len(names) == 0 {
+		return nil, errors.Wrapf(ErrFolder, "%q", folder)
+	}
+	files := make([]parser.File, len(names))
+	for i, name := range names {
+		text, err := os.ReadFile(name)
+		if err != nil {
+			return nil, errors.Wrap(err, "service file")
+		}
+		files[i] = parser.File{Name: name, Text: text}
+	}
+	services, err := parser.ParseServices(files)
+	if err != nil {
+		return nil, err
+	}
+	return Bundle(services, version, parent)
+}
+
+// Bundle makes the text of a bundle of services, sorted by name.
+func Bundle(services []parser.Service, version, parent uint64) ([]byte, error) {
+	sorted := slices.SortedFunc(slices.Values(services), func(a, b parser.Service) int { return cmp.Compare(a.Name, b.Name) })
+	text, err := parser.FormatBundle(&parser.Bundle{Version: version, Parent: parent, Services: sorted})
+	if err != nil {
+		return nil, err
+	}
+	if err := CheckSize(text); err != nil {
+		return nil, err
+	}
+	_, err = parser.ParseBundle("bundle", text)
+	return text, err
+}
+
+// CheckSize returns a *SizeError when text exceeds MaxSize.
+func CheckSize(text []byte) error {
+	if len(text) <= MaxSize {
+		return nil
+	}
+	e := &SizeError{Size: len(text)}
+	for i, s := range Split(text) {
+		if i > 0 {
+			e.Largest = append(e.Largest, Size{Service: sectionName(s, i), Bytes: len(s)})
+		}
+	}
+	slices.SortStableFunc(e.Largest, func(a, b Size) int { return cmp.Compare(b.Bytes, a.Bytes) })
+	e.Largest = e.Largest[:min(named, len(e.Largest))]
+	return e
+}
+
+// sectionName returns the name of the service in section i.
+func sectionName(section []byte, i int) string {
+	for line := range bytes.Lines(section) {
+		if key, value, ok := bytes.Cut(line, []byte("=")); ok && string(bytes.TrimSpace(key)) == "name" {
+			return string(bytes.Trim(bytes.TrimSpace(value), `"'`))
+		}
+	}
+	return fmt.Sprintf("number %d", i)
+}
--- /dev/null
+++ b/internal/config/keeper/keeper_test.go
@@ -0,0 +1,145 @@
+package keeper_test
+
+import (
+	"errors"
+	"io"
+	"strings"
+	"testing"
+
+	"github.com/phuslu/log"
+	"pgregory.net/rapid"
+
+	"sardinelever.example/sardinelever/internal/config/bundler"
+	"sardinelever.example/sardinelever/internal/config/keeper"
+	"sardinelever.example/sardinelever/internal/config/parser"
+	"sardinelever.example/sardinelever/internal/operator/auditor"
+)
+
+func bundle(t testing.TB, version, parent uint64, slots int) []byte {
+	t.Helper()
+	text, err := bundler.Bundle([]parser.Service{{Name: "a", Slots: slots}}, version, parent)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return text
+}
+
+func quiet() *auditor.Auditor {
+	return &auditor.Auditor{Log: &log.Logger{Writer: log.IOWriter{Writer: io.Discard}}}
+}
+
+func causes(a *auditor.Auditor) string {
+	var out []string
+	for _, c := range a.Changes() {
+		out = append(out, c.Cause)
+	}
+	return strings.Join(out, "\n")
+}
+
+// TestOrder guards against instances that end with different bundles when
+// they are offered the same ones in another order, and against a reversal.
+func TestOrder(t *testing.T) {
+	texts := make([][]byte, 0, 9)
+	var highest bundler.Version
+	for version := uint64(1); version <= 3; version++ {
+		for slots := 1; slots <= 3; slots++ {
+			text := bundle(t, version, version-1, slots)
+			texts = append(texts, text)
+			if v := (bundler.Version{Number: version, Sum: bundler.Sum(text)}); v.Compare(highest) > 0 {
+				highest = v
+			}
+		}
+	}
+	rapid.Check(t, func(t *rapid.T) {
+		k := &keeper.Keeper{Audit: quiet()}
+		order := append(rapid.Permutation(texts).Draw(t, "order"), texts...)
+		var last bundler.Version
+		for _, text := range order {
+			changed, err := k.Offer(text, "test")
+			b, v := k.Current()
+			if err != nil || v.Compare(last) < 0 || changed != (v != last) || b.Version != v.Number {
+				t.Fatalf("got changed %v, error %v, version %v after %v", changed, err, v, last)
+			}
+			last = v
+		}
+		if last != highest {
+			t.Errorf("got %v, want %v", last, highest)
+		}
+	})
+}
+
+// TestRefused guards against an invalid bundle that displaces the one in
+// force, and against one that is audited again at each heartbeat.
+func TestRefused(t *testing.T) {
+	k := &keeper.Keeper{Audit: quiet()}
+	if _, err := k.Offer(bundle(t, 3, 2, 1), "platform"); err != nil {
+		t.Fatal(err)
+	}
+	_, before := k.Current()
+	large := append(bundle(t, 9, 3, 1), []byte(strings.Repeat("#\n", bundler.MaxSize/2))...)
+	for _, text := range []string{"version = 4\n", "version = ", string(large), ""} {
+		for range 2 {
+			changed, err := k.Offer([]byte(text), "peer b")
+			var e *keeper.RefusedError
+			if changed || !errors.As(err, &e) || e.Refused.Source != "peer b" {
+				t.Errorf("got changed %v and error %v, want a refusal", changed, err)
+			}
+		}
+	}
+	if _, got := k.Current(); got != before {
+		t.Errorf("got %v in force, want %v", got, before)
+	}
+	if got, want := len(k.Refused()), 4; got != want {
+		t.Errorf("got %d refused bundles, want %d", got, want)
+	}
+	if got, want := k.Refused()[0].Version.Number, uint64(4); got != want {
+		t.Errorf("got version %d, want %d", got, want)
+	}
+	if got, want := len(k.Audit.Changes()), 5; got != want {
+		t.Errorf("got %d changes, want %d", got, want)
+	}
+}
+
+// TestConflict guards against two publications from one parent of which one
+// is lost without a trace, and against a bundle that skips one unnoticed.
+func TestConflict(t *testing.T) {
+	low, high := bundle(t, 2, 1, 1), bundle(t, 2, 1, 2)
+	if bundler.Sum(low) > bundler.Sum(high) {
+		low, high = high, low
+	}
+	for _, c := range []struct {
+		offers [][]byte
+		want   string
+	}{
+		{[][]byte{low, high, low}, "displaced by another bundle of its version"},
+		{[][]byte{high, low, low}, "lost against another bundle of its version, offered by test"},
+		{[][]byte{low, bundle(t, 4, 3, 1)}, "parent 3 is not the version in force"},
+	} {
+		k := &keeper.Keeper{Audit: quiet()}
+		for _, text := range c.offers {
+			if _, err := k.Offer(text, "test"); err != nil {
+				t.Fatal(err)
+			}
+		}
+		if got := causes(k.Audit); strings.Count(got, c.want) != 1 {
+			t.Errorf("got causes %q, want %q once", got, c.want)
+		}
+	}
+}
+
+// TestChanges guards against a receiver that misses a change, and against a
+// slow receiver that blocks offers.
+func TestChanges(t *testing.T) {
+	k := new(keeper.Keeper)
+	changes := k.Changes()
+	for version := uint64(1); version <= 3; version++ {
+		if _, err := k.Offer(bundle(t, version, version-1, 1), "test"); err != nil {
+			t.Fatal(err)
+		}
+	}
+	<-changes
+	v, sections := k.Sections()
+	if _, text := k.Text(); string(bundler.Join(sections)) != string(text) || v.Number != 3 {
+		t.Errorf("got version %v with sections %q, want version 3 and the sections of %q", v, sections, text)
+	}
+}
