Follow the platform's list and configuration

Cause: the runner polled both in one loop, applied any list and any bundle, and had no limit on calls. Before: a read per second and instance. After, on the fake clock of the tests: at most 10 calls in 5 minutes for a watch without changes, at most 60 in 10 minutes of outage, none while announcements are heard. Reads during which entry instances are held do not count as reads of the present list.

--- /dev/null
+++ b/internal/platform/reader/follower_test.go
@@ -0,0 +1,259 @@
+package reader_test
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/phuslu/log"
+
+	"sardinelever.example/sardinelever/internal/config/bundler"
+	"sardinelever.example/sardinelever/internal/config/keeper"
+	"sardinelever.example/sardinelever/internal/config/parser"
+	"sardinelever.example/sardinelever/internal/operator/auditor"
+	"sardinelever.example/sardinelever/internal/platform/reader"
+	"sardinelever.example/sardinelever/internal/standin/publisher"
+)
+
+// direct calls a handler without a network, so that the tests run on the fake clock of synctest.
+type direct struct{ handler http.Handler }
+
+// RoundTrip answers r by the handler; it fails when the request ended meanwhile.
+func (d direct) RoundTrip(r *http.Request) (*http.Response, error) {
+	w := httptest.NewRecorder()
+	d.handler.ServeHTTP(w, r)
+	if err := r.Context().Err(); err != nil {
+		return nil, err
+	}
+	return w.Result(), nil
+}
+
+var quiet = &log.Logger{Writer: log.IOWriter{Writer: io.Discard}}
+
+// fixture is a platform with a keeper and a follower of its configuration.
+type fixture struct {
+	*testing.T
+	p    publisher.Publisher
+	k    keeper.Keeper
+	f    reader.ConfigFollower
+	ctx  context.Context
+	done chan error
+}
+
+// run starts the follower on the fake clock and calls test.
+func run(t *testing.T, test func(x *fixture)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		x := &fixture{T: t, done: make(chan error, 1)}
+		var stop context.CancelFunc
+		x.ctx, stop = context.WithCancel(t.Context())
+		x.f = reader.ConfigFollower{Client: x.client(), Keeper: &x.k, Log: quiet}
+		test(x)
+		stop()
+		<-x.done
+	})
+}
+
+func (x *fixture) client() *reader.Client {
+	return &reader.Client{Base: "http://platform", HTTP: &http.Client{Transport: direct{&x.p}}}
+}
+
+func (x *fixture) start() { go x.loop() }
+
+func (x *fixture) loop() { x.done <- x.f.Run(x.ctx) }
+
+// after lets the fake clock run for d and waits until all goroutines are idle.
+func (x *fixture) after(d time.Duration) {
+	time.Sleep(d)
+	synctest.Wait()
+}
+
+func (x *fixture) publish(version uint64) uint64 {
+	text, err := bundler.Bundle([]parser.Service{{Name: "a", Slots: 1}}, version, version-1)
+	if err != nil {
+		x.Fatal(err)
+	}
+	return x.p.Publish(text)
+}
+
+func (x *fixture) want(version uint64) {
+	x.Helper()
+	if _, got := x.k.Current(); got.Number != version {
+		x.Errorf("got version %d in force, want %d", got.Number, version)
+	}
+}
+
+// TestWatch guards against a reader that misses a publication, that polls
+// instead of keeping one watch, or that goes back to an older bundle which
+// the platform serves again.
+func TestWatch(t *testing.T) {
+	run(t, func(x *fixture) {
+		first := x.publish(1)
+		x.start()
+		x.after(time.Second)
+		x.want(1)
+		x.publish(2)
+		x.after(time.Second)
+		x.want(2)
+		calls := x.f.Calls()
+		x.after(5 * time.Minute)
+		if got, want := x.f.Calls()-calls, int64(10); got > want {
+			t.Errorf("got %d calls in 5 min without a change, want at most %d", got, want)
+		}
+		x.p.Rewind(first)
+		x.after(time.Second)
+		x.want(2)
+		x.p.Stale(first)
+		x.after(time.Second)
+		x.want(2)
+		x.p.Stale(0)
+		x.publish(3)
+		x.after(time.Second)
+		x.want(3)
+	})
+}
+
+// TestOutage guards against a reader that hurries an ailing platform, and
+// against one that stays away after the platform is back.
+func TestOutage(t *testing.T) {
+	run(t, func(x *fixture) {
+		x.publish(1)
+		x.p.Down.Store(true)
+		x.start()
+		x.after(10 * time.Minute)
+		if got, limit := x.f.Calls(), int64(60); got > limit {
+			t.Errorf("got %d calls in 10 min of outage, want at most %d", got, limit)
+		}
+		x.p.Down.Store(false)
+		x.p.Errors.Store(1)
+		x.after(2 * time.Minute)
+		x.want(1)
+	})
+}
+
+// TestAlternating guards against replicas of the platform that answer with
+// different revisions in turn and so end every watch at once.
+func TestAlternating(t *testing.T) {
+	run(t, func(x *fixture) {
+		x.publish(1)
+		x.publish(2)
+		x.start()
+		for i := range uint64(600) {
+			x.p.Stale(1 + i%2)
+			x.after(100 * time.Millisecond)
+		}
+		if got, limit := x.f.Calls(), int64(65); got > limit {
+			t.Errorf("got %d calls in 60 s, want at most %d", got, limit)
+		}
+		x.want(2)
+	})
+}
+
+// TestFallback guards against instances that read although others announce
+// versions to them, and against one without links that never reads.
+func TestFallback(t *testing.T) {
+	run(t, func(x *fixture) {
+		var heard atomic.Bool
+		heard.Store(true)
+		x.f.Reader = func() bool { return false }
+		x.f.Heard = heard.Load
+		x.publish(1)
+		x.start()
+		x.after(10 * time.Minute)
+		if got := x.f.Calls(); got != 0 {
+			t.Errorf("got %d calls while announcements are heard, want 0", got)
+		}
+		heard.Store(false)
+		x.after(2 * time.Minute)
+		x.want(1)
+		calls := x.f.Calls()
+		x.after(10 * time.Minute)
+		if got := x.f.Calls() - calls; got < 8 || got > 12 {
+			t.Errorf("got %d calls in 10 min without announcements, want about 10", got)
+		}
+	})
+}
+
+// TestAlone guards against a new instance without peers that waits a minute for its first bundle.
+func TestAlone(t *testing.T) {
+	run(t, func(x *fixture) {
+		x.f.Reader = func() bool { return false }
+		x.publish(1)
+		x.start()
+		x.after(8 * time.Second)
+		x.want(1)
+	})
+}
+
+// TestList guards against a follower that forgets the list in an outage, that
+// counts a held list as a read of the present one, or that records no joins.
+func TestList(t *testing.T) {
+	run(t, func(x *fixture) {
+		audit := &auditor.Auditor{Log: quiet}
+		updates := 0
+		f := &reader.ListFollower{Client: x.client(), Audit: audit, Log: quiet, Update: func(*reader.List) { updates++ }}
+		x.p.SetList(entries("", 3, 0))
+		go x.list(f)
+		x.after(time.Second)
+		x.p.SetList(entries("", 4, 1))
+		x.after(2 * time.Second)
+		read := f.Read()
+		if l := f.List(); len(l.Entries) != 4 || !l.Entries[0].Leaving || updates != 2 {
+			t.Errorf("got %v after %d updates, want 4 entries after 2", l.Entries, updates)
+		}
+		x.p.Down.Store(true)
+		x.after(time.Minute)
+		if got := f.Read(); len(f.List().Entries) != 4 || got.After(read.Add(2*time.Second)) {
+			t.Errorf("got %d entries read at %v in an outage, want 4 read about %v", len(f.List().Entries), got, read)
+		}
+		x.p.Down.Store(false)
+		x.p.SetList(nil)
+		x.after(8 * time.Second)
+		if f.Answered().Before(read.Add(time.Minute)) || f.Read().After(read.Add(time.Minute)) {
+			t.Errorf("got answer at %v and read at %v of a held list, want an answer only", f.Answered(), f.Read())
+		}
+		x.after(time.Minute)
+		if got := len(f.List().Entries); got != 0 {
+			t.Errorf("got %d entries after the hold, want 0", got)
+		}
+		var causes []string
+		for _, c := range audit.Changes() {
+			causes = append(causes, c.Cause)
+		}
+		got := strings.Join(causes, "; ")
+		for _, want := range []string{"first read; changed in the list; joined the list", "lost more than half of a kind", "left the list"} {
+			if !strings.Contains(got, want) {
+				t.Errorf("got causes %q, want also %q", got, want)
+			}
+		}
+		x.start()
+	})
+}
+
+func (x *fixture) list(f *reader.ListFollower) { _ = f.Run(x.ctx) }
+
+// TestClient guards against unusable answers that pass as a value.
+func TestClient(t *testing.T) {
+	for _, c := range []struct{ name, revision, body string }{
+		{"no revision", "", "x"}, {"bad revision", "-1", "x"}, {"too large", "1", strings.Repeat("x", reader.MaxValue+1)},
+	} {
+		h := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Revision", c.revision)
+			_, _ = io.WriteString(w, c.body)
+		})
+		client := &reader.Client{Base: "http://platform", HTTP: &http.Client{Transport: direct{h}}}
+		if v, err := client.Config(t.Context(), 0, 0); !errors.Is(err, reader.ErrPlatform) {
+			t.Errorf("%s: got %v and error %v, want %v", c.name, v, err, reader.ErrPlatform)
+		}
+		if l, err := client.List(t.Context()); !errors.Is(err, reader.ErrPlatform) {
+			t.Errorf("%s: got list %v and error %v, want %v", c.name, l, err, reader.ErrPlatform)
+		}
+	}
+}
--- a/internal/standin/publisher/publisher.go
+++ b/internal/standin/publisher/publisher.go
@@ -12,59 +12,142 @@
 	"sardinelever.example/sardinelever/internal/platform/reader"
 )
 
-// Publisher serves /config and /list. The zero value holds nothing.
+// Publisher serves /config and /list. The zero value holds nothing. All
+// methods and fields may be used while it serves.
 type Publisher struct {
-	Reads atomic.Int64 // Calls to /config so far.
-	Down  atomic.Bool  // Down answers every call with 503.
+	Reads   atomic.Int64 // Calls to /config so far.
+	Pending atomic.Int64 // Watches that wait at the moment.
+	Lists   atomic.Int64 // Calls to /list so far.
+	Down    atomic.Bool  // Down answers every call with 503.
+	Errors  atomic.Int64 // Number of following calls that are answered with 500.
+	Delay   atomic.Int64 // Nanoseconds added to each answer.
+	Lag     atomic.Int64 // Nanoseconds after which /list shows a change.
 
-	mu       sync.Mutex
-	changed  chan struct{}
-	revision uint64
-	text     []byte
-	list     reader.List
+	mu      sync.Mutex
+	changed chan struct{}
+	texts   [][]byte // Bundles by revision; revision 1 is the first.
+	stale   uint64   // Revision that is served instead of the latest; 0 means none.
+	lists   []dated
+	frozen  *reader.List
+	counter counter
+}
+
+// dated is a list and the time from which it is shown without lag.
+type dated struct {
+	set  time.Time
+	list reader.List
 }
 
 // Publish replaces the bundle and returns its revision.
 func (p *Publisher) Publish(text []byte) uint64 {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.revision++
-	p.text = text
+	p.texts = append(p.texts, text)
+	p.wake()
+	return uint64(len(p.texts))
+}
+
+// Rewind publishes the bundle of an earlier revision again under a new one
+// and returns the new revision.
+func (p *Publisher) Rewind(revision uint64) uint64 {
+	p.mu.Lock()
+	text := p.texts[revision-1]
+	p.mu.Unlock()
+	return p.Publish(text)
+}
+
+// Stale serves an earlier revision instead of the latest; 0 ends that.
+func (p *Publisher) Stale(revision uint64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.stale = revision
+	p.wake()
+}
+
+func (p *Publisher) wake() {
 	if p.changed != nil {
 		close(p.changed)
 		p.changed = nil
 	}
-	return p.revision
 }
 
-// SetList replaces the list.
+// SetList replaces the list; it is shown after Lag.
 func (p *Publisher) SetList(entries []reader.Entry) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.list = reader.List{Time: time.Now(), Entries: entries}
+	now := time.Now()
+	p.lists = append(p.lists, dated{set: now, list: reader.List{Time: now, Entries: entries}})
+}
+
+// Freeze makes /list keep its present content until it is called with false.
+func (p *Publisher) Freeze(on bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.frozen = nil
+	if on {
+		l := p.shown(time.Now())
+		p.frozen = &l
+	}
+}
+
+// Peak returns the largest number of calls to /config in one second of the clock.
+func (p *Publisher) Peak() int64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.counter.peak
 }
 
 // ServeHTTP answers reads and watches of instances.
 func (p *Publisher) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if p.Down.Load() {
-		http.Error(w, "platform is down", http.StatusServiceUnavailable)
-		return
-	}
 	switch r.URL.Path {
 	case "/config":
 		p.Reads.Add(1)
-		p.serveConfig(w, r)
+		p.mu.Lock()
+		p.counter.add(time.Now().Unix())
+		p.mu.Unlock()
 	case "/list":
-		p.serveList(w)
+		p.Lists.Add(1)
 	default:
 		http.NotFound(w, r)
+		return
+	}
+	if d := time.Duration(p.Delay.Load()); d > 0 && !pause(r.Context(), d) {
+		return
+	}
+	if p.Down.Load() {
+		http.Error(w, "platform is down", http.StatusServiceUnavailable)
+		return
+	}
+	if p.fails() {
+		http.Error(w, "platform has an internal error", http.StatusInternalServerError)
+		return
+	}
+	if r.URL.Path == "/list" {
+		p.serveList(w)
+		return
+	}
+	p.serveConfig(w, r)
+}
+
+// fails takes one of the errors that remain.
+func (p *Publisher) fails() bool {
+	for {
+		n := p.Errors.Load()
+		if n <= 0 {
+			return false
+		}
+		if p.Errors.CompareAndSwap(n, n-1) {
+			return true
+		}
 	}
 }
 
 func (p *Publisher) serveConfig(w http.ResponseWriter, r *http.Request) {
 	after, _ := strconv.ParseUint(r.FormValue("after"), 10, 64)
 	wait, _ := time.ParseDuration(r.FormValue("wait"))
+	p.Pending.Add(1)
 	rev, text := p.await(r.Context(), after, wait)
+	p.Pending.Add(-1)
 	if rev == after {
 		w.WriteHeader(http.StatusNotModified)
 		return
@@ -77,13 +160,7 @@
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	for {
-		p.mu.Lock()
-		rev, text := p.revision, p.text
-		if p.changed == nil {
-			p.changed = make(chan struct{})
-		}
-		changed := p.changed
-		p.mu.Unlock()
+		rev, text, changed := p.latest()
 		if rev != after {
 			return rev, text
 		}
@@ -97,10 +174,67 @@
 	}
 }
 
+// latest returns what is served at present and a channel that is closed when that changes.
+func (p *Publisher) latest() (uint64, []byte, <-chan struct{}) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.changed == nil {
+		p.changed = make(chan struct{})
+	}
+	rev := uint64(len(p.texts))
+	if p.stale > 0 {
+		rev = p.stale
+	}
+	if rev == 0 {
+		return 0, nil, p.changed
+	}
+	return rev, p.texts[rev-1], p.changed
+}
+
 func (p *Publisher) serveList(w http.ResponseWriter) {
 	p.mu.Lock()
-	l := p.list
+	l := p.shown(time.Now())
 	p.mu.Unlock()
 	w.Header().Set("Content-Type", "application/json")
 	_ = json.NewEncoder(w).Encode(l)
 }
+
+// shown returns the latest list that is at least as old as the lag, and forgets those before it.
+func (p *Publisher) shown(now time.Time) reader.List {
+	if p.frozen != nil {
+		return *p.frozen
+	}
+	lag := time.Duration(p.Lag.Load())
+	for len(p.lists) > 1 && now.Sub(p.lists[1].set) >= lag {
+		p.lists = p.lists[1:]
+	}
+	if len(p.lists) == 0 {
+		return reader.List{Time: now}
+	}
+	return p.lists[0].list
+}
+
+// pause waits for d and reports whether ctx is still valid then.
+func pause(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// counter counts events in each second of the clock.
+type counter struct {
+	second, count, peak int64
+}
+
+func (c *counter) add(second int64) {
+	if second != c.second {
+		c.second, c.count = second, 0
+	}
+	c.count++
+	c.peak = max(c.peak, c.count)
+}
