Grant slots from the homes of pools

Cause: each instance chose servers from its own counts and knew nothing of the calls of the others. Held carries the rank, so a new home counts the lower ranks against the reserve. Before: local least outstanding. Conclusion: the interfaces stand and can be wired; policies and latency are not measured yet.

--- a/internal/route/asker/asker.go
+++ b/internal/route/asker/asker.go
@@ -2,13 +2,18 @@
 
 import (
 	"context"
+	"net"
 	"net/netip"
-	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"sardinelever.example/sardinelever/internal/config/parser"
+	"sardinelever.example/sardinelever/internal/fleet/linker"
+	"sardinelever.example/sardinelever/internal/fleet/registrar"
+	"sardinelever.example/sardinelever/internal/route/granter"
 	"sardinelever.example/sardinelever/internal/route/mapper"
+	"sardinelever.example/sardinelever/internal/route/tracker"
 )
 
 // Need describes the slot that a call asks for.
@@ -20,22 +25,7 @@
 }
 
 // Result is what a call says about the backend server when it gives its slot back.
-type Result struct {
-	Failed  bool // Failed is set when the backend server caused the failure.
-	Refused bool // Refused is set on the documented refusal.
-	Drain   bool // Drain is set when the backend server asked for no new calls.
-	Latency time.Duration
-	Busy    int // Calls in flight by the server's own report, -1 when unknown.
-}
-
-// Slot is the right to send one call to Server; it is given back by Release.
-type Slot struct {
-	Server  netip.AddrPort
-	release func(Result)
-}
-
-// Release gives the slot back; it must be called once.
-func (s *Slot) Release(r Result) { s.release(r) }
+type Result = tracker.Result
 
 // Refusal is the error of a call that gets no slot.
 type Refusal struct {
@@ -46,42 +36,87 @@
 // Error returns the reason.
 func (r *Refusal) Error() string { return "no slot: " + r.Reason }
 
-// Asker grants slots from local counts of calls in flight.
+// Fleet says which instances may act as homes.
+type Fleet interface {
+	// Usable returns the members of zone in region that may act as home; an
+	// empty zone stands for all zones and an empty region for all regions.
+	Usable(zone, region string) []registrar.Member
+	// Failed says that a member could not be reached or that its stream broke.
+	Failed(name string)
+}
+
+// Opener opens streams to other instances.
+type Opener interface {
+	Open(ctx context.Context, peer netip.AddrPort, k linker.Kind) (net.Conn, error)
+}
+
+// Asker obtains slots from the homes of pools.
 type Asker struct {
-	Map *mapper.Holder
+	Map     *mapper.Holder
+	Name    string           // Name of this instance.
+	Zone    string           // Availability zone of this instance.
+	Region  string           // Region of this instance.
+	Granter *granter.Granter // Home on this instance; nil means one of its own.
+	Fleet   Fleet            // nil means that this instance is home of all pools.
+	Links   Opener           // nil means that this instance is home of all pools.
+	Policy  Policy           // The zero value asks homes; others are baselines for measurements.
+
+	once   sync.Once
+	local  local
+	number atomic.Uint64
+	plan   atomic.Pointer[plan]
+	base   baseline
 
-	mu   sync.Mutex
-	busy map[netip.AddrPort]int
+	mu    sync.Mutex
+	links map[string]*link           // By name of the instance.
+	last  map[granter.Key]placedHome // Home that was last asked for each pool.
 }
 
-// Acquire returns a slot of the least busy backend server of the service.
-func (a *Asker) Acquire(_ context.Context, n Need) (*Slot, error) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	if a.busy == nil {
-		a.busy = make(map[netip.AddrPort]int)
+const (
+	// answerTimeout is the time in which a home must answer an ask at all. It
+	// exceeds the round trip between regions with a pause of a busy process.
+	answerTimeout = 500 * time.Millisecond
+	// defaultDeadline applies to a need without a deadline.
+	defaultDeadline = 10 * time.Second
+	// followPeriod is the time between checks for moved pools whose slots are held.
+	followPeriod = 200 * time.Millisecond
+)
+
+func (a *Asker) setup() {
+	if a.Granter == nil {
+		a.Granter = &granter.Granter{Map: a.Map}
 	}
-	s := a.Map.Load().Services[n.Service]
-	best := -1
-	for i := range s.Servers {
-		b := &s.Servers[i]
-		if b.Leaving || slices.Contains(n.Avoid, b.Address) {
-			continue
-		}
-		if best < 0 || a.busy[b.Address] < a.busy[s.Servers[best].Address] {
-			best = i
+	a.local = local{granter: a.Granter, slots: make(map[uint64]*Slot)}
+	a.links = make(map[string]*link)
+	a.last = make(map[granter.Key]placedHome)
+}
+
+// Run reports held slots to homes to which their pools have moved, until ctx is
+// done; it then closes the grant streams.
+func (a *Asker) Run(ctx context.Context) error {
+	a.once.Do(a.setup)
+	t := time.NewTicker(followPeriod)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			a.closeLinks()
+			return nil
+		case <-t.C:
+			a.follow()
 		}
 	}
-	if best < 0 {
-		return nil, &Refusal{Reason: "none", After: time.Second}
-	}
-	addr := s.Servers[best].Address
-	a.busy[addr]++
-	return &Slot{Server: addr, release: func(Result) { a.free(addr) }}, nil
 }
 
-func (a *Asker) free(addr netip.AddrPort) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	a.busy[addr]--
+// Acquire returns a slot for a call, or a *Refusal.
+func (a *Asker) Acquire(ctx context.Context, n Need) (*Slot, error) {
+	a.once.Do(a.setup)
+	if n.Deadline.IsZero() {
+		n.Deadline = time.Now().Add(defaultDeadline)
+	}
+	if a.Policy != Dispatch {
+		return a.base.acquire(a, n)
+	}
+	w := &ask{asker: a, need: n, wake: make(chan struct{}, 1)}
+	return w.run(ctx)
 }
--- /dev/null
+++ b/internal/route/asker/fleet_test.go
@@ -0,0 +1,152 @@
+package asker_test
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"sardinelever.example/sardinelever/internal/config/parser"
+	"sardinelever.example/sardinelever/internal/fleet/linker"
+	"sardinelever.example/sardinelever/internal/fleet/registrar"
+	"sardinelever.example/sardinelever/internal/route/asker"
+	"sardinelever.example/sardinelever/internal/route/granter"
+	"sardinelever.example/sardinelever/internal/route/mapper"
+)
+
+// fleet is a set of instances joined by in-memory streams.
+type fleet struct {
+	holder    mapper.Holder
+	instances []*instance
+
+	mu   sync.Mutex
+	down map[string]bool
+	open map[net.Conn]string // Entry sides of the streams, by home.
+}
+
+type instance struct {
+	asker.Asker
+	fleet  *fleet
+	member registrar.Member
+}
+
+var errDown = errors.New("instance is down")
+
+// newFleet makes n instances and servers servers with slots slots in each zone.
+func newFleet(zones []string, n, servers, slots int) *fleet {
+	f := &fleet{down: make(map[string]bool), open: make(map[net.Conn]string)}
+	s := &mapper.Service{Service: &parser.Service{Name: "guidance", Slots: slots}}
+	for z, zone := range zones {
+		for i := range servers {
+			s.Servers = append(s.Servers, mapper.BackendServer{
+				Name: zone + strconv.Itoa(i), Address: address(z, i), Zone: zone, Region: "north",
+			})
+		}
+		for i := range n {
+			in := &instance{fleet: f}
+			in.member = registrar.Member{Name: zone + "-" + strconv.Itoa(i), Zone: zone, Region: "north", Peer: address(100+z, i)}
+			in.Map, in.Name, in.Zone, in.Region = &f.holder, in.member.Name, zone, "north"
+			in.Granter = &granter.Granter{Map: &f.holder}
+			in.Fleet, in.Links = in, in
+			f.instances = append(f.instances, in)
+		}
+	}
+	f.holder.Store(&mapper.Map{Version: 1, Services: map[string]*mapper.Service{"guidance": s}})
+	return f
+}
+
+func address(a, b int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, byte(a), byte(b)}), 80)
+}
+
+func (in *instance) Usable(zone, region string) []registrar.Member {
+	var usable []registrar.Member
+	for _, o := range in.fleet.instances {
+		if (zone == "" || o.Asker.Zone == zone) && (region == "" || o.Asker.Region == region) {
+			usable = append(usable, o.member)
+		}
+	}
+	return usable
+}
+
+func (in *instance) Failed(string) {}
+
+func (in *instance) Open(_ context.Context, peer netip.AddrPort, _ linker.Kind) (net.Conn, error) {
+	f := in.fleet
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, o := range f.instances {
+		if o.member.Peer == peer && !f.down[o.Name] {
+			near, far := net.Pipe()
+			f.open[near] = o.Name
+			go o.Granter.Serve(in.Name, far)
+			return near, nil
+		}
+	}
+	return nil, errDown
+}
+
+// cut breaks all streams to home; down keeps new ones from being opened.
+func (f *fleet) cut(home string, down bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.down[home] = down
+	for c, name := range f.open {
+		if name == home {
+			_ = c.Close()
+			delete(f.open, c)
+		}
+	}
+}
+
+// inFlight returns the slots in use by the count of the home in.
+func (in *instance) inFlight() int {
+	n := 0
+	for _, p := range in.Granter.Status() {
+		for _, s := range p.Servers {
+			n += s.InFlight
+		}
+	}
+	return n
+}
+
+// settle waits until the homes all together count want slots in use.
+func settle(t fataler, homes []*instance, want int) {
+	t.Helper()
+	deadline := time.After(5 * time.Second)
+	for {
+		got := 0
+		for _, in := range homes {
+			got += in.inFlight()
+		}
+		if got == want {
+			return
+		}
+		select {
+		case <-deadline:
+			t.Fatalf("slots in use at the homes: got %d, want %d", got, want)
+			return
+		case <-time.After(time.Millisecond):
+		}
+	}
+}
+
+// fataler is the part of testing.TB that rapid.T has too.
+type fataler interface {
+	Helper()
+	Fatalf(format string, args ...any)
+}
+
+func acquire(t *testing.T, a *asker.Asker) *asker.Slot {
+	t.Helper()
+	s, err := a.Acquire(t.Context(), asker.Need{Service: "guidance", Deadline: time.Now().Add(5 * time.Second)})
+	if err != nil {
+		t.Fatalf("got %v, want a slot", err)
+	}
+	return s
+}
--- /dev/null
+++ b/internal/route/asker/message.go
@@ -0,0 +1,66 @@
+package asker
+
+import (
+	"time"
+
+	"github.com/pkg/errors"
+
+	"sardinelever.example/sardinelever/internal/fleet/messenger"
+	"sardinelever.example/sardinelever/internal/route/granter"
+)
+
+// errSilent reports a home that does not answer on an open stream.
+var errSilent = errors.New("home does not answer")
+
+func encodePool(k granter.Key) *messenger.Pool {
+	return &messenger.Pool{Service: k.Service, Zone: k.Zone, Shard: k.Shard}
+}
+
+func encodeAsk(p *part) *messenger.Grant {
+	n := &p.ask.need
+	m := &messenger.Ask{
+		Number: p.number, Pool: encodePool(p.pool.key), Rank: uint32(n.Rank), Left: int64(time.Until(n.Deadline)),
+	}
+	for _, addr := range n.Avoid {
+		b, _ := addr.MarshalBinary() // Never fails.
+		m.Avoid = append(m.Avoid, b)
+	}
+	return &messenger.Grant{Kind: &messenger.Grant_Ask{Ask: m}}
+}
+
+func encodeHeld(s *Slot) *messenger.Grant {
+	n := &s.part.ask.need
+	server, _ := s.Server.MarshalBinary() // Never fails.
+	return &messenger.Grant{Kind: &messenger.Grant_Held{Held: &messenger.Held{
+		Number: s.part.number, Pool: encodePool(s.part.pool.key), Server: server,
+		Left: int64(time.Until(n.Deadline)), Rank: uint32(n.Rank),
+	}}}
+}
+
+func encodeDone(number uint64, r Result) *messenger.Grant {
+	return &messenger.Grant{Kind: &messenger.Grant_Done{Done: &messenger.Done{
+		Number: number, Latency: int64(r.Latency), Busy: int32(r.Busy),
+		Failed: r.Failed, Refused: r.Refused, Drain: r.Drain,
+	}}}
+}
+
+// decode returns the reply in m; ok is false for kinds of newer versions.
+func decode(m *messenger.Grant) (r granter.Reply, ok bool, err error) {
+	switch k := m.Kind.(type) {
+	case *messenger.Grant_Offer:
+		r = granter.Reply{Number: k.Offer.Number, Kind: granter.Offered}
+		if err := r.Server.UnmarshalBinary(k.Offer.Server); err != nil {
+			return r, false, errors.Wrap(messenger.ErrFrame, err.Error())
+		}
+	case *messenger.Grant_Queued:
+		r = granter.Reply{Number: k.Queued.Number, Kind: granter.Queued}
+	case *messenger.Grant_Refuse:
+		r = granter.Reply{
+			Number: k.Refuse.Number, Kind: granter.Refused,
+			Reason: k.Refuse.Reason, After: time.Duration(k.Refuse.After),
+		}
+	default:
+		return r, false, nil
+	}
+	return r, true, nil
+}
--- /dev/null
+++ b/internal/route/granter/ask.go
@@ -0,0 +1,54 @@
+package granter
+
+import (
+	"net/netip"
+	"time"
+
+	"sardinelever.example/sardinelever/internal/config/parser"
+)
+
+// Reasons of a refusal.
+const (
+	Full = "full" // The queue of the rank is full.
+	Late = "late" // The deadline would pass before the call could be served.
+	None = "none" // No backend server may run the call.
+)
+
+// Receiver is the session that owns an ask. Receive is called by the goroutine
+// of a pool; it must neither block nor call the Granter.
+type Receiver interface {
+	Receive(r Reply)
+}
+
+// ID names an ask and the grant that follows from it; Number is unique for its Owner.
+type ID struct {
+	Owner  Receiver
+	Number uint64
+}
+
+// Ask requests a slot.
+type Ask struct {
+	ID
+	Rank     parser.Rank
+	Deadline time.Time
+	Avoid    []netip.AddrPort // Backend servers that the call must not use.
+}
+
+// Kind says what a Reply means.
+type Kind uint8
+
+// The kinds of replies.
+const (
+	Queued  Kind = iota // The ask waits for a slot.
+	Offered             // The slot of Server is granted.
+	Refused             // The ask gets no slot.
+)
+
+// Reply answers an ask.
+type Reply struct {
+	Number uint64
+	Kind   Kind
+	Server netip.AddrPort
+	Reason string
+	After  time.Duration // Time before another try makes sense.
+}
--- /dev/null
+++ b/internal/route/granter/key.go
@@ -0,0 +1,61 @@
+package granter
+
+import (
+	"net/netip"
+	"strconv"
+
+	"github.com/cespare/xxhash/v2"
+
+	"sardinelever.example/sardinelever/internal/route/mapper"
+)
+
+// Key names a pool: the backend servers of a service in one zone, or one shard of them.
+type Key struct {
+	Service string
+	Zone    string
+	Shard   uint32
+}
+
+// String returns the key in placement, status and audit trail.
+func (k Key) String() string {
+	s := k.Service + "/" + k.Zone
+	if k.Shard > 0 {
+		s += "/" + strconv.FormatUint(uint64(k.Shard), 10)
+	}
+	return s
+}
+
+// maxServers is the size above which a pool is split into shards.
+const maxServers = 64
+
+// Shards returns the number of shards of a pool of n backend servers.
+func Shards(n int) uint32 { return uint32(max((n+maxServers-1)/maxServers, 1)) }
+
+// Shard returns the shard of a backend server among n.
+func Shard(addr netip.AddrPort, n uint32) uint32 {
+	if n <= 1 {
+		return 0
+	}
+	return uint32(xxhash.Sum64String(addr.String()) % uint64(n))
+}
+
+// Members returns the backend servers of pool k in s.
+func Members(s *mapper.Service, k Key) []mapper.BackendServer {
+	var zone []mapper.BackendServer
+	for i := range s.Servers {
+		if s.Servers[i].Zone == k.Zone {
+			zone = append(zone, s.Servers[i])
+		}
+	}
+	n := Shards(len(zone))
+	if n == 1 {
+		return zone
+	}
+	var shard []mapper.BackendServer
+	for i := range zone {
+		if Shard(zone[i].Address, n) == k.Shard {
+			shard = append(shard, zone[i])
+		}
+	}
+	return shard
+}
--- /dev/null
+++ b/internal/route/granter/outbox.go
@@ -0,0 +1,100 @@
+package granter
+
+import (
+	"bufio"
+	"io"
+	"sync"
+
+	"github.com/pkg/errors"
+
+	"sardinelever.example/sardinelever/internal/fleet/messenger"
+)
+
+// ErrBehind reports a peer that does not read its grant stream.
+var ErrBehind = errors.New("grant stream: peer does not read")
+
+// maxUnsent bounds the messages that wait to be written to one stream.
+const maxUnsent = 1 << 16
+
+// Outbox queues the messages of a grant stream and writes them in batches, so
+// that messages of one moment share a write.
+type Outbox struct {
+	mu     sync.Mutex
+	wake   sync.Cond
+	queued []*messenger.Grant
+	err    error
+}
+
+// Put queues m; it never blocks.
+func (o *Outbox) Put(m *messenger.Grant) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.err != nil {
+		return
+	}
+	if len(o.queued) >= maxUnsent {
+		o.stop(ErrBehind)
+		return
+	}
+	o.queued = append(o.queued, m)
+	o.signal()
+}
+
+// Close makes Copy return.
+func (o *Outbox) Close() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.stop(io.EOF)
+}
+
+func (o *Outbox) stop(err error) {
+	if o.err == nil {
+		o.err, o.queued = err, nil
+	}
+	o.signal()
+}
+
+func (o *Outbox) signal() {
+	if o.wake.L == nil {
+		o.wake.L = &o.mu
+	}
+	o.wake.Signal()
+}
+
+// Copy writes the queued messages to w until Close or an error.
+func (o *Outbox) Copy(w io.Writer) error {
+	b := bufio.NewWriterSize(w, 32<<10)
+	var batch []*messenger.Grant
+	for {
+		var err error
+		if batch, err = o.take(batch[:0]); err != nil {
+			return err
+		}
+		for _, m := range batch {
+			if err := messenger.Write(b, m); err != nil {
+				return err
+			}
+		}
+		if err := b.Flush(); err != nil {
+			return errors.Wrap(err, "grant stream")
+		}
+	}
+}
+
+// take waits for messages and returns them; spare becomes the next queue.
+func (o *Outbox) take(spare []*messenger.Grant) ([]*messenger.Grant, error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.wake.L == nil {
+		o.wake.L = &o.mu
+	}
+	for len(o.queued) == 0 && o.err == nil {
+		o.wake.Wait()
+	}
+	if o.err != nil {
+		return nil, o.err
+	}
+	batch := o.queued
+	o.queued = spare
+	return batch, nil
+}
--- /dev/null
+++ b/internal/route/granter/queue.go
@@ -0,0 +1,61 @@
+package granter
+
+import (
+	"container/list"
+	"time"
+)
+
+// waiting is an ask in a queue.
+type waiting struct {
+	Ask
+	since time.Time
+}
+
+// queue holds the asks of one rank in order of arrival.
+type queue struct {
+	asks    list.List
+	credit  float64 // Share of a call that the floor of the rank has earned.
+	granted uint64
+	refused map[string]uint64
+}
+
+func (q *queue) len() int { return q.asks.Len() }
+
+// standing is the wait of the oldest ask above which the newest is served
+// first. Arrivals beyond capacity for longer than this would otherwise be
+// served just before their deadlines, when most callers have given up.
+const standing = 100 * time.Millisecond
+
+// overloaded reports whether the oldest ask has waited for longer than
+// standing, or for half of the time that its caller gave it.
+func (q *queue) overloaded(now time.Time) bool {
+	front := q.asks.Front()
+	if front == nil {
+		return false
+	}
+	w := front.Value.(*waiting)
+	limit := min(standing, w.Deadline.Sub(w.since)/2)
+	return now.Sub(w.since) > limit
+}
+
+// first returns the ask to serve next and next the one after e.
+func (q *queue) first(newest bool) *list.Element {
+	if newest {
+		return q.asks.Back()
+	}
+	return q.asks.Front()
+}
+
+func (q *queue) next(e *list.Element, newest bool) *list.Element {
+	if newest {
+		return e.Prev()
+	}
+	return e.Next()
+}
+
+func (q *queue) refuse(reason string) {
+	if q.refused == nil {
+		q.refused = make(map[string]uint64)
+	}
+	q.refused[reason]++
+}
--- /dev/null
+++ b/internal/route/granter/serve.go
@@ -0,0 +1,200 @@
+package granter
+
+import (
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"sardinelever.example/sardinelever/internal/config/parser"
+	"sardinelever.example/sardinelever/internal/route/picker"
+	"sardinelever.example/sardinelever/internal/route/tracker"
+)
+
+// dispatch grants free slots to queued asks until one of both runs out.
+func (p *Pool) dispatch(now time.Time) {
+	more := true
+	for more && len(p.waits) > 0 {
+		more = p.free(now) > 0 && p.serve(now)
+	}
+}
+
+func (p *Pool) free(now time.Time) int {
+	n := 0
+	for _, s := range p.servers.Servers() {
+		n += s.Free(now)
+	}
+	return n
+}
+
+// slots returns the calls that the pool may run at a time.
+func (p *Pool) slots(now time.Time) int {
+	n := 0
+	for _, s := range p.servers.Servers() {
+		n += s.Capacity(now)
+	}
+	return n
+}
+
+// capacity returns the bound of each queue.
+func (p *Pool) capacity() int {
+	calls := p.config.Queue.Calls
+	if calls == 0 {
+		calls = defaultCalls
+	}
+	return calls * max(p.config.Slots, 1) * len(p.servers.Servers())
+}
+
+// reserve returns the slots that are kept for urgent calls.
+func (p *Pool) reserve(now time.Time) int {
+	if p.urgent.IsZero() || now.Sub(p.urgent) > recent {
+		return 0
+	}
+	n := p.slots(now)
+	return min(int(math.Ceil(float64(n)*reserveShare)), n/2)
+}
+
+func (p *Pool) floor(r parser.Rank) float64 {
+	share, usual := p.config.Floors.Patient, defaultPatient
+	if r == parser.Normal {
+		share, usual = p.config.Floors.Normal, defaultNormal
+	}
+	if share == 0 {
+		return usual
+	}
+	return share
+}
+
+// serve grants one slot: to a lower rank that has credit for a call, else to
+// urgent, normal and patient in this order. It reports whether it granted one.
+func (p *Pool) serve(now time.Time) bool {
+	for r := parser.Normal; r <= parser.Patient; r++ {
+		if p.queues[r].credit >= 1 && p.serveRank(now, r) {
+			return true
+		}
+	}
+	if p.serveRank(now, parser.Urgent) {
+		return true
+	}
+	if p.lower >= p.slots(now)-p.reserve(now) && p.lower > 0 {
+		return false
+	}
+	return p.serveRank(now, parser.Normal) || p.serveRank(now, parser.Patient)
+}
+
+func (p *Pool) serveRank(now time.Time, r parser.Rank) bool {
+	q := &p.queues[r]
+	newest := q.overloaded(now)
+	scanned := 0
+	for e := q.first(newest); e != nil && scanned < maxScan; scanned++ {
+		w := e.Value.(*waiting)
+		e = q.next(e, newest)
+		if !w.Deadline.After(now) {
+			p.remove(w.ID)
+			p.refuse(now, w.Ask, Late)
+			continue
+		}
+		s := p.pick(now, w.Ask)
+		if s == nil {
+			continue
+		}
+		p.remove(w.ID)
+		p.grant(now, s, w.Ask)
+		p.earn(r)
+		w.Owner.Receive(Reply{Number: w.Number, Kind: Offered, Server: s.Address})
+		return true
+	}
+	return false
+}
+
+// earn books a grant of rank r: lower ranks that wait get credit for it.
+func (p *Pool) earn(served parser.Rank) {
+	p.queues[served].granted++
+	for r := parser.Normal; r <= parser.Patient; r++ {
+		q := &p.queues[r]
+		switch {
+		case r == served:
+			q.credit = max(q.credit-1, 0)
+		case q.len() > 0:
+			q.credit = min(q.credit+p.floor(r), 1)
+		}
+	}
+}
+
+// pick returns the server for a, nil when none has a free slot.
+func (p *Pool) pick(now time.Time, a Ask) *tracker.Server {
+	all := p.scratch[:0]
+	for _, s := range p.servers.Servers() {
+		if s.Free(now) == 0 || slices.Contains(a.Avoid, s.Address) {
+			continue
+		}
+		if s.State(now) == tracker.Trial {
+			// Urgent calls carry the trial only when no other call has come.
+			if a.Rank == parser.Urgent && !s.Overdue(now) {
+				continue
+			}
+			return s
+		}
+		all = append(all, picker.Candidate[*tracker.Server]{Value: s, Score: p.score(now, s), Busy: s.InFlight()})
+	}
+	p.scratch = all
+	var policy picker.Policy[*tracker.Server] = picker.Best[*tracker.Server]{}
+	if p.Policy != nil {
+		policy = p.Policy
+	}
+	if i := policy.Pick(all); i >= 0 {
+		return all[i].Value
+	}
+	return nil
+}
+
+func (p *Pool) score(now time.Time, s *tracker.Server) float64 {
+	return picker.Score(picker.Facts{
+		Latency:  p.servers.Expected(now, s),
+		Median:   time.Duration(p.servers.Median(now)),
+		Busy:     float64(s.InFlight()) + p.servers.Foreign(now, s),
+		Limit:    s.Limit(),
+		Failures: p.servers.Failures(now, s),
+	})
+}
+
+func (p *Pool) serviceTime(now time.Time) time.Duration {
+	return time.Duration(p.servers.Median(now))
+}
+
+// backlog estimates the wait of a new ask of rank r: the asks that are served
+// before it x time per slot / slots. While higher ranks wait, a lower rank gets
+// only its floor of the slots.
+func (p *Pool) backlog(now time.Time, r parser.Rank) time.Duration {
+	share, ahead := 1.0, p.queues[r].len()
+	for higher := parser.Urgent; higher < r; higher++ {
+		if p.queues[higher].len() > 0 {
+			share = p.floor(r)
+		}
+	}
+	slots := max(float64(p.slots(now))*share, 0.1)
+	return time.Duration(float64(ahead) * p.hold / slots)
+}
+
+// minRetry bounds Retry-After from below; a refused call that returns at once
+// finds the same queue.
+const minRetry = 100 * time.Millisecond
+
+// noneRetry is the Retry-After of a pool without usable servers.
+const noneRetry = time.Second
+
+func (p *Pool) refuse(now time.Time, a Ask, reason string) {
+	p.queues[a.Rank].refuse(reason)
+	after := max(p.backlog(now, a.Rank), minRetry)
+	if reason == None {
+		after = noneRetry
+	}
+	jitter := p.Jitter
+	if jitter == nil {
+		jitter = randomJitter
+	}
+	after = time.Duration(float64(after) * jitter())
+	a.Owner.Receive(Reply{Number: a.Number, Kind: Refused, Reason: reason, After: after})
+}
+
+func randomJitter() float64 { return 0.5 + rand.Float64() }
--- /dev/null
+++ b/internal/route/granter/session.go
@@ -0,0 +1,151 @@
+package granter
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/phuslu/log"
+	"github.com/pkg/errors"
+
+	"sardinelever.example/sardinelever/internal/config/parser"
+	"sardinelever.example/sardinelever/internal/fleet/messenger"
+	"sardinelever.example/sardinelever/internal/route/tracker"
+)
+
+// session is the grant stream of one entry.
+type session struct {
+	granter *Granter
+	out     Outbox
+	keys    map[Key]bool // Pools that the entry has asked.
+
+	mu    sync.Mutex
+	pools map[uint64]Key // Pool of each ask and grant.
+}
+
+var _ Receiver = (*session)(nil)
+
+// Serve answers the grant stream of the entry from until it ends. The asks and
+// grants of the entry are then dropped.
+func (g *Granter) Serve(from string, conn net.Conn) {
+	s := &session{granter: g, keys: make(map[Key]bool), pools: make(map[uint64]Key)}
+	var writer sync.WaitGroup
+	writer.Add(1)
+	go s.run(conn, &writer)
+	if err := s.read(conn); !errors.Is(err, io.EOF) {
+		log.Warn().Str("from", from).Err(err).Msg("route: grant stream ended")
+	}
+	s.out.Close()
+	_ = conn.Close()
+	writer.Wait()
+	g.close(s, s.keys)
+}
+
+// run writes the replies.
+func (s *session) run(conn net.Conn, done *sync.WaitGroup) {
+	defer done.Done()
+	_ = s.out.Copy(conn)
+	_ = conn.Close()
+}
+
+// read handles the messages of the entry until the stream ends, which is io.EOF.
+func (s *session) read(conn net.Conn) error {
+	r := bufio.NewReaderSize(conn, 32<<10)
+	for {
+		m := new(messenger.Grant)
+		if err := messenger.Read(r, m); err != nil {
+			return err
+		}
+		if err := s.handle(time.Now(), m); err != nil {
+			return err
+		}
+	}
+}
+
+func (s *session) handle(now time.Time, m *messenger.Grant) error {
+	switch k := m.Kind.(type) {
+	case *messenger.Grant_Ask:
+		return s.ask(now, k.Ask)
+	case *messenger.Grant_Held:
+		return s.held(now, k.Held)
+	case *messenger.Grant_Cancel:
+		if key, ok := s.forget(k.Cancel.Number); ok {
+			s.granter.Cancel(key, ID{s, k.Cancel.Number})
+		}
+	case *messenger.Grant_Done:
+		if key, ok := s.forget(k.Done.Number); ok {
+			s.granter.Done(key, ID{s, k.Done.Number}, result(k.Done))
+		}
+	}
+	// Other kinds belong to newer versions and are ignored.
+	return nil
+}
+
+func (s *session) ask(now time.Time, a *messenger.Ask) error {
+	key := s.remember(a.Number, a.Pool)
+	avoid := make([]netip.AddrPort, len(a.Avoid))
+	for i, b := range a.Avoid {
+		if err := avoid[i].UnmarshalBinary(b); err != nil {
+			return errors.Wrap(messenger.ErrFrame, err.Error())
+		}
+	}
+	s.granter.Ask(key, Ask{
+		ID: ID{s, a.Number}, Rank: rank(a.Rank), Deadline: now.Add(time.Duration(a.Left)), Avoid: avoid,
+	})
+	return nil
+}
+
+func (s *session) held(now time.Time, h *messenger.Held) error {
+	var server netip.AddrPort
+	if err := server.UnmarshalBinary(h.Server); err != nil {
+		return errors.Wrap(messenger.ErrFrame, err.Error())
+	}
+	key := s.remember(h.Number, h.Pool)
+	s.granter.Held(key, ID{s, h.Number}, server, rank(h.Rank), now.Add(time.Duration(h.Left)))
+	return nil
+}
+
+func (s *session) remember(number uint64, p *messenger.Pool) Key {
+	key := Key{Service: p.GetService(), Zone: p.GetZone(), Shard: p.GetShard()}
+	s.keys[key] = true
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.pools[number] = key
+	return key
+}
+
+func (s *session) forget(number uint64) (Key, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	key, ok := s.pools[number]
+	delete(s.pools, number)
+	return key, ok
+}
+
+// Receive sends the reply of a pool to the entry.
+func (s *session) Receive(r Reply) {
+	m := new(messenger.Grant)
+	switch r.Kind {
+	case Queued:
+		m.Kind = &messenger.Grant_Queued{Queued: &messenger.Queued{Number: r.Number}}
+	case Offered:
+		server, _ := r.Server.MarshalBinary() // Never fails.
+		m.Kind = &messenger.Grant_Offer{Offer: &messenger.Offer{Number: r.Number, Server: server}}
+	case Refused:
+		s.forget(r.Number)
+		m.Kind = &messenger.Grant_Refuse{Refuse: &messenger.Refuse{Number: r.Number, Reason: r.Reason, After: int64(r.After)}}
+	}
+	s.out.Put(m)
+}
+
+func result(d *messenger.Done) tracker.Result {
+	return tracker.Result{
+		Failed: d.Failed, Refused: d.Refused, Drain: d.Drain,
+		Latency: time.Duration(d.Latency), Busy: int(d.Busy),
+	}
+}
+
+func rank(r uint32) parser.Rank { return parser.Rank(min(r, uint32(parser.Patient))) }
--- /dev/null
+++ b/internal/route/granter/status.go
@@ -0,0 +1,122 @@
+package granter
+
+import (
+	"cmp"
+	"fmt"
+	"net/netip"
+	"slices"
+	"time"
+
+	"sardinelever.example/sardinelever/internal/config/parser"
+	"sardinelever.example/sardinelever/internal/route/tracker"
+)
+
+// ServerStatus is the state of a backend server as its home sees it.
+type ServerStatus struct {
+	Name     string
+	Address  netip.AddrPort
+	State    tracker.State
+	Slots    int
+	Limit    int
+	InFlight int
+	Free     int
+	Score    float64 // Lower is better; in seconds.
+	Latency  time.Duration
+	Failures float64       // Failure ratio of the window.
+	Busy     int           // Last load report, -1 when there is none.
+	Age      time.Duration // Age of the load report.
+	Why      string        // Why the server gets no work; empty when it does.
+}
+
+// RankStatus is the queue of one rank.
+type RankStatus struct {
+	Rank    parser.Rank
+	Queued  int
+	Granted uint64
+	Refused map[string]uint64 // By reason.
+	Wait    time.Duration     // Estimated wait of a new ask.
+}
+
+// Status is the state of a pool.
+type Status struct {
+	Key     Key
+	Slots   int // Calls that the pool may run at a time now.
+	Reserve int // Slots kept for urgent calls.
+	Servers []ServerStatus
+	Ranks   []RankStatus
+}
+
+// Status returns the state of the pool.
+func (p *Pool) Status(now time.Time) Status {
+	s := Status{Key: p.Key, Slots: p.slots(now), Reserve: p.reserve(now)}
+	for _, b := range p.servers.Servers() {
+		s.Servers = append(s.Servers, p.serverStatus(now, b))
+	}
+	for r := parser.Urgent; r <= parser.Patient; r++ {
+		q := &p.queues[r]
+		refused := make(map[string]uint64, len(q.refused))
+		for reason, n := range q.refused {
+			refused[reason] = n
+		}
+		s.Ranks = append(s.Ranks, RankStatus{
+			Rank: r, Queued: q.len(), Granted: q.granted, Refused: refused, Wait: p.backlog(now, r),
+		})
+	}
+	return s
+}
+
+func (p *Pool) serverStatus(now time.Time, b *tracker.Server) ServerStatus {
+	ratio, _ := b.Ratio(now, p.servers.Settings.Window)
+	busy, age := p.servers.Report(now, b)
+	s := ServerStatus{
+		Name: b.Name, Address: b.Address, State: b.State(now), Slots: p.servers.Settings.Slots,
+		Limit: b.Limit(), InFlight: b.InFlight(), Free: b.Free(now), Score: p.score(now, b),
+		Latency: p.servers.Expected(now, b), Failures: ratio, Busy: busy, Age: age,
+	}
+	switch {
+	case s.State != tracker.Ready && s.State != tracker.Trial:
+		s.Why = s.State.String()
+	case s.Free > 0:
+	case s.InFlight >= s.Limit:
+		s.Why = fmt.Sprintf("%d of %d slots in use", s.InFlight, s.Limit)
+	default:
+		s.Why = "slots kept closed after fast failures"
+	}
+	return s
+}
+
+// Status returns the state of all pools, sorted by service, zone and shard.
+func (g *Granter) Status() []Status { return g.collect(nil) }
+
+// Explain returns the state of the pools of service, the servers of each in
+// the order in which they would get the next call.
+func (g *Granter) Explain(service string) []Status {
+	all := g.collect(func(k Key) bool { return k.Service == service })
+	for i := range all {
+		slices.SortStableFunc(all[i].Servers, func(a, b ServerStatus) int {
+			return cmp.Or(cmp.Compare(len(a.Why), 0)-cmp.Compare(len(b.Why), 0), cmp.Compare(a.Score, b.Score))
+		})
+	}
+	return all
+}
+
+func (g *Granter) collect(match func(Key) bool) []Status {
+	var asked []*request
+	g.each(match, func() *request {
+		r := &request{op: opStatus, status: make(chan Status, 1)}
+		asked = append(asked, r)
+		return r
+	})
+	var all []Status
+	for _, r := range asked {
+		select {
+		case s := <-r.status:
+			all = append(all, s)
+		case <-time.After(time.Second): // The pool was stopped meanwhile.
+		}
+	}
+	slices.SortFunc(all, func(a, b Status) int {
+		return cmp.Or(cmp.Compare(a.Key.Service, b.Key.Service), cmp.Compare(a.Key.Zone, b.Key.Zone), cmp.Compare(a.Key.Shard, b.Key.Shard))
+	})
+	return all
+}
