Probe backend servers within a budget that holds for the whole fleet

Cause: idle, ejected and cold backend servers were not measured at all. The total budget of a service limits how many of its backend servers have their turn in one time slot. Before: no probes. After: TestBudget finds no second in which a backend server or service exceeds its budget, in 100 random fleets with two lists, clocks that err by up to 99 ms, late sends, slow servers and replaced instances.

--- /dev/null
+++ b/internal/route/prober/planner_test.go
@@ -0,0 +1,257 @@
+package prober_test
+
+import (
+	"fmt"
+	"net/netip"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"sardinelever.example/sardinelever/internal/config/parser"
+	"sardinelever.example/sardinelever/internal/platform/reader"
+	"sardinelever.example/sardinelever/internal/route/prober"
+)
+
+var epoch = time.Unix(1_700_000_000, 0)
+
+// clockError is the largest error of a clock in whole milliseconds below 100 ms.
+const clockError = 99
+
+func view(probe parser.Probe, instances []string, servers int) prober.View {
+	l := new(reader.List)
+	for _, name := range instances {
+		l.Entries = append(l.Entries, reader.Entry{Name: name})
+	}
+	for i := range servers {
+		addr := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i / 250), byte(i % 250)}), 80)
+		l.Entries = append(l.Entries, reader.Entry{Service: "a", Name: fmt.Sprint(i), Address: addr})
+	}
+	return prober.Join(l, &parser.Bundle{Services: []parser.Service{{Name: "a", Probe: probe}}})
+}
+
+func names(n int) []string {
+	out := make([]string, n)
+	for i := range out {
+		out[i] = fmt.Sprint("i", i)
+	}
+	return out
+}
+
+// life is one process of an instance on the true time line.
+type life struct {
+	name     string
+	clock    time.Duration // Clock of the instance minus true time.
+	from, to time.Time
+	change   time.Time // When it changes from the first view to the second.
+	late     time.Duration
+	slow     time.Duration // Duration of its probes.
+}
+
+// record is a probe on the true time line.
+type record struct {
+	server netip.AddrPort
+	at     time.Time
+}
+
+// run returns the probes of one process.
+func (l *life) run(first, second prober.View) []record {
+	p := &prober.Planner{Name: l.name, Start: l.from.Add(l.clock)}
+	var out []record
+	for now := l.from.Add(l.clock); ; {
+		v := first
+		if now.Add(-l.clock).After(l.change) {
+			v = second
+		}
+		now = prober.Next(now, v)
+		sent := now.Add(l.late)
+		if sent.Add(-l.clock).After(l.to) {
+			return out
+		}
+		for _, turn := range p.Due(now, v, nil) {
+			if !p.Begin(turn) {
+				continue
+			}
+			took := time.Duration(0)
+			if p.Send(turn, sent) {
+				out = append(out, record{turn.Server, sent.Add(-l.clock)})
+				took = min(l.slow, prober.Timeout(turn.Probe))
+			}
+			p.End(turn, took)
+		}
+	}
+}
+
+// TestBudget guards against fleets whose probes of one backend server, or of
+// one service, exceed the budget within any second: with two lists at once,
+// clocks that err, probes sent late, slow servers and replaced instances.
+func TestBudget(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		probe := parser.Probe{Cost: parser.Duration(5 * time.Millisecond), Budget: parser.Duration(10 * time.Millisecond)}
+		servers := rapid.IntRange(1, 12).Draw(t, "servers")
+		probe.Total = probe.Cost * parser.Duration(2*rapid.IntRange(1, servers).Draw(t, "share"))
+		probe.Period = parser.Duration(1200+rapid.IntRange(0, 500).Draw(t, "period")) * parser.Duration(time.Millisecond)
+		all := names(rapid.IntRange(1, 6).Draw(t, "instances"))
+		first := view(probe, all, servers)
+		second := view(probe, all[rapid.IntRange(0, len(all)-1).Draw(t, "removed"):], rapid.IntRange(1, servers).Draw(t, "left"))
+		var records []record
+		for _, name := range all {
+			for _, l := range lives(t, name) {
+				records = append(records, l.run(first, second)...)
+			}
+		}
+		checkWindow(t, records, int(probe.Total/probe.Cost), "service")
+		for _, server := range first.Targets[0].Servers {
+			own := slices.DeleteFunc(slices.Clone(records), func(r record) bool { return r.server != server })
+			checkWindow(t, own, int(probe.Budget/probe.Cost), server.String())
+		}
+	})
+}
+
+// lives draws a process and perhaps one that replaces it at once.
+func lives(t *rapid.T, name string) []life {
+	ms := func(label string, low, high int) time.Duration {
+		return time.Duration(rapid.IntRange(low, high).Draw(t, name+" "+label)) * time.Millisecond
+	}
+	draw := func(from, to time.Time) life {
+		return life{
+			name: name, from: from, to: to, change: epoch.Add(ms("change", 0, 30000)), late: ms("late", 0, 12),
+			clock: ms("clock", -clockError, clockError), slow: ms("slow", 0, 40),
+		}
+	}
+	start, end := epoch.Add(-time.Minute), epoch.Add(30*time.Second)
+	if !rapid.Bool().Draw(t, name+" replaced") {
+		return []life{draw(start, end)}
+	}
+	replaced := epoch.Add(ms("replaced", 0, 30000))
+	return []life{draw(start, replaced), draw(replaced, end)}
+}
+
+func checkWindow(t *rapid.T, records []record, limit int, what string) {
+	slices.SortFunc(records, func(a, b record) int { return a.at.Compare(b.at) })
+	for i := range records {
+		n := 0
+		for n < len(records)-i && records[i+n].at.Sub(records[i].at) < time.Second {
+			n++
+		}
+		if n > limit {
+			t.Fatalf("%s: got %d probes in the second from %v, want at most %d", what, n, records[i].at, limit)
+		}
+	}
+}
+
+// TestClocks guards against a period that is too short for two clocks that
+// err by 99 ms in opposite directions and probes that are as late as allowed.
+func TestClocks(t *testing.T) {
+	p := view(parser.Probe{}, names(1), 1).Targets[0].Probe
+	n := prober.Number(epoch, p.Period.Std())
+	last := prober.Middle(n, p.Period.Std()).Add(clockError * time.Millisecond).Add(prober.Late(p))
+	next := prober.Middle(n+1, p.Period.Std()).Add(-clockError * time.Millisecond)
+	if got := next.Sub(last); got < time.Second {
+		t.Errorf("got %v between two probes, want at least 1 s", got)
+	}
+	if end := last.Add(prober.Timeout(p)); end.After(next) {
+		t.Errorf("got end of a probe at %v, want no later than the next at %v", end, next)
+	}
+}
+
+// TestCoverage guards against backend servers that no instance ever probes.
+func TestCoverage(t *testing.T) {
+	v := view(parser.Probe{Total: parser.Duration(6 * time.Millisecond)}, names(4), 20)
+	seen := make(map[netip.AddrPort]int)
+	for _, name := range v.Instances {
+		p := &prober.Planner{Name: name}
+		now := epoch
+		for range 70 {
+			now = prober.Next(now, v)
+			for _, turn := range p.Due(now, v, nil) {
+				seen[turn.Server]++
+			}
+		}
+	}
+	for _, server := range v.Targets[0].Servers {
+		if got, want := seen[server], 10; got != want {
+			t.Errorf("%v: got %d turns in 70 time slots with 3 of 20 servers each, want %d", server, got, want)
+		}
+	}
+}
+
+// TestDebt guards against a struggling server whose slow probes cost it more
+// than the budget in the long run, and against a debt that is never paid.
+func TestDebt(t *testing.T) {
+	v := view(parser.Probe{}, names(3), 1)
+	const slow = 60 * time.Millisecond
+	var spent time.Duration
+	planners := make([]prober.Planner, len(v.Instances))
+	for i, name := range v.Instances {
+		planners[i] = prober.Planner{Name: name, Start: epoch.Add(-time.Minute)}
+	}
+	for now := epoch; now.Before(epoch.Add(time.Hour)); {
+		now = prober.Next(now, v)
+		for i := range planners {
+			for _, turn := range planners[i].Due(now, v, nil) {
+				if planners[i].Begin(turn) && planners[i].Send(turn, now) {
+					spent += slow
+					planners[i].End(turn, slow)
+				}
+			}
+		}
+	}
+	// One list uses half of the budget; each instance learns by one probe that the server is slow.
+	limit := 3600*v.Targets[0].Probe.Budget.Std()/2 + time.Duration(len(planners))*slow
+	if spent > limit || spent < limit*8/10 {
+		t.Errorf("got %v of probe time in an hour, want between 80%% and 100%% of %v", spent, limit)
+	}
+}
+
+// TestSend guards against probes that a process sends after it slept, after
+// its clock was set back, right after its start, or beside a running one.
+func TestSend(t *testing.T) {
+	v := view(parser.Probe{}, names(1), 1)
+	middle := prober.Next(epoch, v)
+	for _, c := range []struct {
+		name  string
+		start time.Time
+		late  time.Duration
+		want  bool
+	}{
+		{"in time", epoch.Add(-time.Minute), 0, true},
+		{"late", epoch.Add(-time.Minute), 2 * time.Millisecond, true},
+		{"slept", epoch.Add(-time.Minute), 3 * time.Millisecond, false},
+		{"early", epoch.Add(-time.Minute), -1, false},
+		{"new", middle.Add(-5*time.Second + 1), 0, false},
+		{"old enough", middle.Add(-5 * time.Second), 0, true},
+	} {
+		p := &prober.Planner{Name: "i0", Start: c.start}
+		turn := p.Due(middle, v, nil)[0]
+		if got := p.Begin(turn) && p.Send(turn, middle.Add(c.late)); got != c.want {
+			t.Errorf("%s: got %v, want %v", c.name, got, c.want)
+		}
+	}
+	p := &prober.Planner{Name: "i0", Start: epoch.Add(-time.Minute)}
+	turn := p.Due(middle, v, nil)[0]
+	if !p.Begin(turn) || !p.Send(turn, middle) || p.Begin(turn) {
+		t.Error("got a second probe beside a running one")
+	}
+	p.End(turn, 0)
+	if !p.Begin(turn) || p.Send(turn, middle) {
+		t.Error("got a second probe in one time slot after the clock was set back")
+	}
+}
+
+// BenchmarkDue measures the choice of turns at the target size, 2,000 backend
+// servers and 130 instances, when all or none of the servers are idle.
+func BenchmarkDue(b *testing.B) {
+	for _, idle := range []bool{true, false} {
+		b.Run(fmt.Sprint("idle=", idle), func(b *testing.B) {
+			v := view(parser.Probe{Total: parser.Duration(time.Hour)}, names(130), 2000)
+			p := &prober.Planner{Name: "i0"}
+			middle := epoch
+			for b.Loop() {
+				middle = prober.Next(middle, v)
+				p.Due(middle, v, func(string, netip.AddrPort) bool { return idle })
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/route/prober/prober_test.go
@@ -0,0 +1,111 @@
+package prober_test
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"sardinelever.example/sardinelever/internal/config/parser"
+	"sardinelever.example/sardinelever/internal/route/prober"
+)
+
+// server answers each connection with the next of its texts; an empty one never answers.
+type server struct {
+	texts    []string
+	requests []string
+}
+
+// dial connects to the server in memory, so that the tests run on the fake clock of synctest.
+func (s *server) dial(context.Context, netip.AddrPort) (net.Conn, error) {
+	if len(s.texts) == 0 {
+		return nil, errors.New("connection refused")
+	}
+	near, far := net.Pipe()
+	go s.serve(far, s.texts[0])
+	s.texts = s.texts[1:]
+	return near, nil
+}
+
+func (s *server) serve(conn net.Conn, text string) {
+	defer func() { _ = conn.Close() }()
+	r, err := http.ReadRequest(bufio.NewReader(conn))
+	if err != nil {
+		return
+	}
+	s.requests = append(s.requests, r.Method+" "+r.URL.Path)
+	if text == "" {
+		_, _ = io.Copy(io.Discard, conn)
+		return
+	}
+	_, _ = io.WriteString(conn, text)
+}
+
+// start runs a prober of one backend server until test returns.
+func start(t *testing.T, s *server, test func(p *prober.Prober, figures <-chan prober.Figure)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		figures := make(chan prober.Figure, 100)
+		p := &prober.Prober{
+			Name: "i0", Dial: s.dial, Report: func(f prober.Figure) { figures <- f },
+			View: func() prober.View { return view(parser.Probe{}, names(1), 1) },
+		}
+		ctx, stop := context.WithCancel(t.Context())
+		done := make(chan error, 1)
+		go run(ctx, p, done)
+		test(p, figures)
+		stop()
+		<-done
+	})
+}
+
+func run(ctx context.Context, p *prober.Prober, done chan<- error) { done <- p.Run(ctx) }
+
+// TestProber guards against results that are lost or misread, and against a
+// second request after a failed one.
+func TestProber(t *testing.T) {
+	s := &server{texts: []string{
+		"HTTP/1.1 200 OK\r\nSardine-Load: 1/2\r\nContent-Length: 2\r\n\r\nok",
+		"HTTP/1.1 503 Full\r\nSardine-Load: x\r\nSardine-Drain: 1\r\nContent-Length: 0\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nshort",
+	}}
+	start(t, s, func(_ *prober.Prober, figures <-chan prober.Figure) {
+		for _, want := range []prober.Figure{
+			{Busy: 1, Slots: 2}, {Busy: -1, Slots: -1, Failed: true, Drain: true}, {Busy: -1, Slots: -1, Failed: true}, {Busy: -1, Slots: -1, Failed: true},
+		} {
+			got := <-figures
+			want.Service, want.Server, want.Age, want.Latency = "a", got.Server, got.Age, got.Latency
+			if got != want {
+				t.Errorf("got %+v, want %+v", got, want)
+			}
+		}
+	})
+	if got, want := len(s.requests), 3; got != want || s.requests[0] != "GET /load" {
+		t.Errorf("got requests %v, want %d of GET /load", s.requests, want)
+	}
+}
+
+// TestSilent guards against a probe without an answer that is never ended or
+// not charged, so that a struggling server is probed again at once.
+func TestSilent(t *testing.T) {
+	start(t, &server{texts: make([]string, 100)}, func(p *prober.Prober, figures <-chan prober.Figure) {
+		if got := <-figures; !got.Failed {
+			t.Errorf("got %+v, want a failure", got)
+		}
+		time.Sleep(3 * time.Minute) // On the fake clock.
+		if got := p.Sent(); got != 1 {
+			t.Errorf("got %d probes while about 1 s of probe time is paid at 6 ms per turn, want 1", got)
+		}
+		time.Sleep(time.Minute)
+		if got := p.Sent(); got != 2 {
+			t.Errorf("got %d probes after the debt was paid, want 2", got)
+		}
+	})
+}
