--- /dev/null
+++ b/cmd/sardinelever/check.go
@@ -0,0 +1,83 @@
+package main
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+
+	"github.com/pkg/errors"
+
+	"sardinelever.example/sardinelever/internal/config/bundler"
+	"sardinelever.example/sardinelever/internal/config/parser"
+)
+
+type checkCommand struct {
+	Paths []string `arg:"" help:"Service files, folders of them, bundles or instance settings."`
+}
+
+// Run checks all paths, reports every mistake and accepts or refuses them together.
+func (c *checkCommand) Run() error {
+	files, err := c.read()
+	if err != nil {
+		return err
+	}
+	all := new(parser.MistakesError)
+	var services []parser.File
+	count := make(map[parser.Kind]int)
+	for _, f := range files {
+		kind := parser.DetectKind(f.Text)
+		count[kind]++
+		switch kind {
+		case parser.BundleFile:
+			if err := bundler.CheckSize(f.Text); err != nil {
+				return errors.Wrap(err, f.Name)
+			}
+			_, err = parser.ParseBundle(f.Name, f.Text)
+		case parser.SettingsFile:
+			_, err = parser.ParseSettings(f.Name, f.Text)
+		case parser.ServiceFile:
+			services = append(services, f)
+			continue
+		}
+		addMistakes(all, err)
+	}
+	_, err = parser.ParseServices(services)
+	addMistakes(all, err)
+	if len(all.Mistakes) > 0 {
+		return refuse(all)
+	}
+	fmt.Printf("accepted: %d service files, %d bundles, %d settings\n",
+		count[parser.ServiceFile], count[parser.BundleFile], count[parser.SettingsFile])
+	return nil
+}
+
+// read returns the files of all paths; a folder stands for its *.toml files.
+func (c *checkCommand) read() ([]parser.File, error) {
+	var files []parser.File
+	for _, path := range c.Paths {
+		names := []string{path}
+		if info, err := os.Stat(path); err == nil && info.IsDir() {
+			if names, err = filepath.Glob(filepath.Join(path, "*.toml")); err != nil {
+				return nil, err
+			}
+			if len(names) == 0 {
+				return nil, errors.Wrapf(bundler.ErrFolder, "%q", path)
+			}
+		}
+		for _, name := range names {
+			text, err := os.ReadFile(name)
+			if err != nil {
+				return nil, err
+			}
+			files = append(files, parser.File{Name: name, Text: text})
+		}
+	}
+	return files, nil
+}
+
+func addMistakes(all *parser.MistakesError, err error) {
+	var m *parser.MistakesError
+	if errors.As(err, &m) {
+		all.Mistakes = append(all.Mistakes, m.Mistakes...)
+	}
+}
--- /dev/null
+++ b/cmd/sardinelever/collect.go
@@ -0,0 +1,62 @@
+package main
+
+import (
+	"fmt"
+	"os"
+
+	"github.com/pkg/errors"
+
+	"sardinelever.example/sardinelever/internal/config/bundler"
+	"sardinelever.example/sardinelever/internal/config/parser"
+)
+
+type collectCommand struct {
+	Folder string `arg:"" help:"Folder with one TOML file per service."`
+	From   string `help:"Published bundle from which this one is made; without it the bundle is the first."`
+	Number uint64 `help:"Version of the bundle; default is the next one after that of --from."`
+	Out    string `help:"File for the bundle; without it the bundle is printed."`
+}
+
+// Run writes the bundle.
+func (c *collectCommand) Run() error {
+	parent := uint64(0)
+	if c.From != "" {
+		b, err := readBundle(c.From)
+		if err != nil {
+			return refuse(err)
+		}
+		parent = b.Version
+	}
+	number := c.Number
+	if number == 0 {
+		number = parent + 1
+	}
+	if number <= parent {
+		return errors.Errorf("version %d is not above version %d of %s", number, parent, c.From)
+	}
+	text, err := bundler.Collect(c.Folder, number, parent)
+	if err != nil {
+		return refuse(err)
+	}
+	if c.Out == "" {
+		_, err = os.Stdout.Write(text)
+		return err
+	}
+	if err := os.WriteFile(c.Out, text, 0o644); err != nil {
+		return err
+	}
+	fmt.Printf("%s: version %v, parent %d, services: %d, size: %d of %d bytes\n", c.Out,
+		bundler.Version{Number: number, Sum: bundler.Sum(text)}, parent, len(bundler.Split(text))-1, len(text), bundler.MaxSize)
+	return nil
+}
+
+func readBundle(file string) (*parser.Bundle, error) {
+	text, err := os.ReadFile(file)
+	if err != nil {
+		return nil, err
+	}
+	if err := bundler.CheckSize(text); err != nil {
+		return nil, errors.Wrap(err, file)
+	}
+	return parser.ParseBundle(file, text)
+}
--- /dev/null
+++ b/cmd/sardinelever/diff.go
@@ -0,0 +1,54 @@
+package main
+
+import (
+	"fmt"
+	"os"
+
+	"sardinelever.example/sardinelever/internal/config/bundler"
+	"sardinelever.example/sardinelever/internal/config/parser"
+)
+
+type diffCommand struct {
+	Before string `arg:"" help:"Bundle."`
+	After  string `arg:"" help:"Bundle, or folder with one TOML file per service."`
+}
+
+// Run prints the differences; equal bundles are no error.
+func (c *diffCommand) Run() error {
+	before, err := readBundle(c.Before)
+	if err != nil {
+		return refuse(err)
+	}
+	after, err := c.after(before.Version)
+	if err != nil {
+		return refuse(err)
+	}
+	text, err := bundler.Diff(before, after)
+	if err != nil {
+		return err
+	}
+	fmt.Printf("version %d -> %d, parent %d\n", before.Version, after.Version, after.Parent)
+	if after.Parent != before.Version {
+		fmt.Printf("note: %s was not made from version %d\n", c.After, before.Version)
+	}
+	if text == "" {
+		text = "the services are equal\n"
+	}
+	fmt.Print(text)
+	return nil
+}
+
+func (c *diffCommand) after(parent uint64) (*parser.Bundle, error) {
+	info, err := os.Stat(c.After)
+	if err != nil {
+		return nil, err
+	}
+	if !info.IsDir() {
+		return readBundle(c.After)
+	}
+	text, err := bundler.Collect(c.After, parent+1, parent)
+	if err != nil {
+		return nil, err
+	}
+	return parser.ParseBundle(c.After, text)
+}
--- /dev/null
+++ b/cmd/sardinelever/exit.go
@@ -0,0 +1,35 @@
+package main
+
+import (
+	"fmt"
+	"os"
+
+	"github.com/pkg/errors"
+
+	"sardinelever.example/sardinelever/internal/config/parser"
+)
+
+const (
+	kongUsage = 80 // Status with which kong reports wrong arguments.
+	exitUsage = 2
+)
+
+// exit ends the process with code: 0 after success, 1 after a refusal or an
+// error, 2 after wrong arguments.
+func exit(code int) {
+	if code == kongUsage {
+		code = exitUsage
+	}
+	os.Exit(code)
+}
+
+// refuse prints the mistakes in err, one on a line without prefix, and
+// returns a short error; any other error is returned as it is.
+func refuse(err error) error {
+	var m *parser.MistakesError
+	if !errors.As(err, &m) {
+		return err
+	}
+	fmt.Fprintln(os.Stderr, m)
+	return errors.Errorf("refused, mistakes: %d", len(m.Mistakes))
+}
--- a/cmd/sardinelever/main.go
+++ b/cmd/sardinelever/main.go
@@ -12,13 +12,16 @@
 )
 
 type commands struct {
-	Run runCommand `cmd:"" help:"Run an entry instance."`
-	Try tryCommand `cmd:"" help:"Run a whole deployment inside this process and print an account."`
+	Run     runCommand     `cmd:"" help:"Run an entry instance."`
+	Collect collectCommand `cmd:"" help:"Collect service files into a bundle."`
+	Check   checkCommand   `cmd:"" help:"Check service files, bundles and settings."`
+	Diff    diffCommand    `cmd:"" help:"Show the differences of two bundles."`
+	Try     tryCommand     `cmd:"" help:"Run a whole deployment inside this process and print an account."`
 }
 
 func main() {
 	var c commands
-	k := kong.Parse(&c, kong.Name("sardinelever"), kong.Description("Load balancer for servers whose load shifts in milliseconds."), kong.UsageOnError())
+	k := kong.Parse(&c, kong.Name("sardinelever"), kong.Description("Load balancer for servers whose load shifts in milliseconds."), kong.UsageOnError(), kong.Exit(exit))
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	k.BindTo(ctx, (*context.Context)(nil))
--- a/internal/config/bundler/bundler_test.go
+++ b/internal/config/bundler/bundler_test.go
@@ -122,7 +122,8 @@
 	}}
 	after := &parser.Bundle{Services: []parser.Service{
 		{Name: "a", Slots: 3, Hosts: []string{"h"}, Deadline: parser.Duration(time.Second), Routes: []parser.Route{{Path: "/x", Rank: parser.Patient}}},
-		{Name: "b", Slots: 1}, {Name: "d", Slots: 1},
+		{Name: "b", Slots: 1},
+		{Name: "d", Slots: 1},
 	}}
 	got, err := bundler.Diff(before, after)
 	want := `~ a
--- a/internal/route/prober/planner_test.go
+++ b/internal/route/prober/planner_test.go
@@ -142,10 +142,17 @@
 }
 
 // TestClocks guards against a period that is too short for two clocks that
-// err by 99 ms in opposite directions and probes that are as late as allowed.
+// err by 99 ms in opposite directions and probes that are as late as allowed,
+// and against a send time so near to the edge of a time slot that the clocks
+// disagree about its number.
 func TestClocks(t *testing.T) {
 	p := view(parser.Probe{}, names(1), 1).Targets[0].Probe
 	n := prober.Number(epoch, p.Period.Std())
+	for _, e := range []time.Duration{-clockError, clockError} {
+		if got := prober.Number(prober.Middle(n, p.Period.Std()).Add(e*time.Millisecond), p.Period.Std()); got != n {
+			t.Errorf("got time slot %d on a clock that errs by %d ms, want %d", got, e, n)
+		}
+	}
 	last := prober.Middle(n, p.Period.Std()).Add(clockError * time.Millisecond).Add(prober.Late(p))
 	next := prober.Middle(n+1, p.Period.Std()).Add(-clockError * time.Millisecond)
 	if got := next.Sub(last); got < time.Second {
