--- a/internal/standin/launcher/launcher.go
+++ b/internal/standin/launcher/launcher.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/netip"
@@ -50,10 +51,8 @@
 // Start runs an instance with s and returns at once; listeners of s with port
 // 0 get a free port first.
 func (l *Launcher) Start(s *parser.Settings) (*Instance, error) {
-	for _, addr := range []*netip.AddrPort{&s.Callers, &s.Peers, &s.Operator} {
-		if err := reserve(addr); err != nil {
-			return nil, err
-		}
+	if err := Reserve(s); err != nil {
+		return nil, err
 	}
 	text, err := toml.Marshal(s)
 	if err != nil {
@@ -77,18 +76,35 @@
 	return i, nil
 }
 
-// reserve replaces port 0 by a port that is free now.
+// Reserve gives the listeners of s with port 0 a free port.
+func Reserve(s *parser.Settings) error {
+	for _, addr := range []*netip.AddrPort{&s.Callers, &s.Peers, &s.Operator} {
+		if err := reserve(addr); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Ports are drawn below the range from which the system takes the ports of
+// outgoing connections, as one of those could take a port before its listener opens.
+const firstPort, lastPort = 10000, 32000
+
 func reserve(addr *netip.AddrPort) error {
 	if addr.IsValid() && addr.Port() != 0 {
 		return nil
 	}
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return errors.Wrap(err, "free port")
+	var err error
+	for range 100 {
+		try := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), uint16(firstPort+rand.N(lastPort-firstPort)))
+		var l net.Listener
+		if l, err = net.Listen("tcp", try.String()); err == nil {
+			_ = l.Close()
+			*addr = try
+			return nil
+		}
 	}
-	defer func() { _ = l.Close() }()
-	*addr = l.Addr().(*net.TCPAddr).AddrPort()
-	return nil
+	return errors.Wrap(err, "free port")
 }
 
 func (i *Instance) run(out *os.File) {
--- a/internal/standin/stager/stager.go
+++ b/internal/standin/stager/stager.go
@@ -21,6 +21,7 @@
 	Service parser.Service
 	Count   int
 	Time    func() time.Duration
+	Setup   func(*worker.Worker) // Changes a backend server before it serves; nil means no change.
 }
 
 // Stager holds the stand-ins; Groups and Zones are set before Start.
@@ -28,6 +29,9 @@
 	Groups []Group
 	Zones  []string // Backend servers are spread over Zones in turn; empty means one zone, "a".
 
+	// Front returns the address at which the platform lists a backend server; nil means its own.
+	Front func(netip.AddrPort) (netip.AddrPort, error)
+
 	Platform  publisher.Publisher
 	Workers   map[string][]*worker.Worker // By service.
 	Entries   []reader.Entry              // The backend servers as the platform lists them.
@@ -62,17 +66,30 @@
 	return nil
 }
 
-// Stop closes all listeners.
+// stopTime bounds the wait for calls in flight; a silent connection may hold one for ever.
+const stopTime = 2 * time.Second
+
+// Stop closes all listeners, and the connections that are still in use after two seconds.
 func (s *Stager) Stop() {
+	ctx, cancel := context.WithTimeout(context.Background(), stopTime)
+	defer cancel()
 	for _, l := range s.listeners {
-		_ = l.Shutdown(context.Background())
+		if l.Shutdown(ctx) != nil {
+			_ = l.Close()
+		}
 	}
 }
 
 func (s *Stager) startGroup(g *Group) error {
 	for i := range g.Count {
 		w := &worker.Worker{Name: fmt.Sprintf("%s-%d", g.Service.Name, i), Slots: g.Service.Slots, Time: g.Time}
+		if g.Setup != nil {
+			g.Setup(w)
+		}
 		addr, err := s.listen(w)
+		if err == nil && s.Front != nil {
+			addr, err = s.Front(addr)
+		}
 		if err != nil {
 			return err
 		}
--- a/internal/standin/worker/worker.go
+++ b/internal/standin/worker/worker.go
@@ -3,28 +3,68 @@
 import (
 	"fmt"
 	"io"
+	"math"
 	"net/http"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"sardinelever.example/sardinelever/internal/config/parser"
+)
+
+// Headers that a trial's caller sends through the instances to the worker.
+const (
+	CallHeader  = "Trial-Call"  // Name of the call, the same in each attempt; echoed in the answer.
+	TokenHeader = "Trial-Token" // Name of one attempt.
+	TimeHeader  = "Trial-Time"  // Service time in microseconds.
 )
 
 // Worker is a backend server; the exported fields are set before it serves.
 type Worker struct {
-	Name  string
-	Slots int                  // Calls at a time; more are shed with the documented refusal.
-	Time  func() time.Duration // Service time of a call; nil means none.
+	Name   string
+	Slots  int                  // Calls at a time; more wait in Queue or are shed with the documented refusal.
+	Queue  int                  // Calls that wait for a slot; 0 sheds at once.
+	Time   func() time.Duration // Service time of a call without TimeHeader; nil means none.
+	Cost   time.Duration        // Time that a probe takes.
+	Cold   int                  // Number of first calls that take three times as long.
+	Lag    time.Duration        // Age of the load that is reported; 0 means the present load.
+	Ledger *Ledger              // Counts runs over all workers of a trial; nil means none.
 
-	Draining atomic.Bool // Draining makes every answer carry the drain signal.
+	Draining atomic.Bool // Draining sheds every call and makes every answer carry the drain signal.
+	Failing  atomic.Bool // Failing answers every call with status 500 at once.
+	Lying    atomic.Bool // Lying reports no call in flight.
 	Served   atomic.Int64
 	Shed     atomic.Int64
+	Canceled atomic.Int64 // Calls whose connection closed or whose deadline passed while they ran.
 	Probes   atomic.Int64
+	Peak     atomic.Int64 // Most calls that ran at a time.
+	Work     [parser.Ranks]atomic.Int64
 
-	busy atomic.Int64
-	mu   sync.Mutex
-	runs map[string]int
+	factor  atomic.Uint64 // Bits of the slowdown factor; 0 means 1.
+	last    atomic.Int64  // Arrival of the latest call in nanoseconds since 1970.
+	busy    atomic.Int64  // Calls running or waiting.
+	running atomic.Int64
+	once    sync.Once
+	free    chan struct{}
+	stale   gauge
+	mu      sync.Mutex
+	runs    map[string]int
+	probes  []time.Time
 }
 
+// maxProbes bounds the memory of the probe times.
+const maxProbes = 1 << 16
+
+// coldFactor is the slowdown of the first calls of a cold server.
+const coldFactor = 3
+
+// Slow multiplies all service times that start from now on by factor.
+func (s *Worker) Slow(factor float64) { s.factor.Store(math.Float64bits(factor)) }
+
+// LastCall returns when the latest call arrived, shed calls included.
+func (s *Worker) LastCall() time.Time { return time.Unix(0, s.last.Load()) }
+
 // Runs returns how many times the call with identity id was run.
 func (s *Worker) Runs(id string) int {
 	s.mu.Lock()
@@ -32,41 +72,117 @@
 	return s.runs[id]
 }
 
+// ProbeTimes returns the arrival times of the probes in order.
+func (s *Worker) ProbeTimes() []time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]time.Time(nil), s.probes...)
+}
+
 // ServeHTTP runs a call or answers a probe at /load.
 func (s *Worker) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if r.URL.Path == "/load" {
-		s.Probes.Add(1)
-		s.report(w)
+		s.probe(w)
 		return
 	}
+	s.last.Store(time.Now().UnixNano())
 	busy := s.busy.Add(1)
 	defer s.busy.Add(-1)
 	s.report(w)
-	if s.Draining.Load() || busy > int64(s.Slots) {
+	switch {
+	case s.Draining.Load() || busy > int64(s.Slots+s.Queue):
 		s.Shed.Add(1)
 		w.Header().Set("Sardine-Refused", "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
-		return
+	case s.Failing.Load():
+		s.count(r)
+		w.WriteHeader(http.StatusInternalServerError)
+	case s.enter(r):
+		s.run(w, r)
+		<-s.free
 	}
-	s.run(w, r)
 }
 
+// enter waits for a slot; it returns false when the caller left before.
+func (s *Worker) enter(r *http.Request) bool {
+	s.once.Do(s.setup)
+	select {
+	case s.free <- struct{}{}:
+		return true
+	case <-r.Context().Done():
+		s.Canceled.Add(1)
+		return false
+	}
+}
+
+func (s *Worker) setup() { s.free = make(chan struct{}, s.Slots) }
+
 func (s *Worker) run(w http.ResponseWriter, r *http.Request) {
-	s.count(r.Header.Get("Sardine-Id"))
+	running := s.running.Add(1)
+	defer s.running.Add(-1)
+	for peak := s.Peak.Load(); running > peak && !s.Peak.CompareAndSwap(peak, running); {
+		peak = s.Peak.Load()
+	}
+	s.count(r)
 	body, _ := io.ReadAll(r.Body)
-	if s.Time != nil {
-		select {
-		case <-time.After(s.Time()):
-		case <-r.Context().Done():
-			return
-		}
+	start := time.Now()
+	if !s.serve(r) {
+		s.Canceled.Add(1)
+		w.WriteHeader(http.StatusGatewayTimeout)
+		return
 	}
+	var rank parser.Rank
+	_ = rank.UnmarshalText([]byte(r.Header.Get("Sardine-Rank")))
+	s.Work[rank].Add(int64(time.Since(start)))
 	s.Served.Add(1)
 	w.Header().Set("Content-Type", "text/plain")
 	_, _ = fmt.Fprintf(w, "%s %s %s %d\n", s.Name, r.Method, r.URL.Path, len(body))
+	if call := r.Header.Get(CallHeader); call != "" {
+		_, _ = fmt.Fprintln(w, call)
+	}
+}
+
+// serve spends the service time; it returns false when the call was canceled
+// or its deadline passed before.
+func (s *Worker) serve(r *http.Request) bool {
+	d := s.duration(r)
+	if d == 0 {
+		return true
+	}
+	limit := d
+	if ms, err := strconv.Atoi(r.Header.Get("Sardine-Deadline")); err == nil {
+		limit = min(d, time.Duration(ms)*time.Millisecond)
+	}
+	timer := time.NewTimer(limit)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return limit == d
+	case <-r.Context().Done():
+		return false
+	}
+}
+
+func (s *Worker) duration(r *http.Request) time.Duration {
+	var d time.Duration
+	if us, err := strconv.Atoi(r.Header.Get(TimeHeader)); err == nil {
+		d = time.Duration(us) * time.Microsecond
+	} else if s.Time != nil {
+		d = s.Time()
+	}
+	factor := 1.0
+	if bits := s.factor.Load(); bits != 0 {
+		factor = math.Float64frombits(bits)
+	}
+	if s.Served.Load() < int64(s.Cold) {
+		factor *= coldFactor
+	}
+	return time.Duration(float64(d) * factor)
 }
 
-func (s *Worker) count(id string) {
+func (s *Worker) count(r *http.Request) {
+	s.Ledger.note(r.Header.Get(CallHeader), r.Header.Get(TokenHeader))
+	id := r.Header.Get("Sardine-Id")
 	if id == "" {
 		return
 	}
@@ -78,8 +194,26 @@
 	s.runs[id]++
 }
 
+func (s *Worker) probe(w http.ResponseWriter) {
+	s.Probes.Add(1)
+	s.mu.Lock()
+	if len(s.probes) < maxProbes {
+		s.probes = append(s.probes, time.Now())
+	}
+	s.mu.Unlock()
+	time.Sleep(s.Cost)
+	s.report(w)
+}
+
 func (s *Worker) report(w http.ResponseWriter) {
-	w.Header().Set("Sardine-Load", fmt.Sprintf("%d/%d", s.busy.Load(), s.Slots))
+	busy := s.busy.Load()
+	if s.Lag > 0 {
+		busy = s.stale.read(busy, s.Lag)
+	}
+	if s.Lying.Load() {
+		busy = 0
+	}
+	w.Header().Set("Sardine-Load", fmt.Sprintf("%d/%d", busy, s.Slots))
 	if s.Draining.Load() {
 		w.Header().Set("Sardine-Drain", "1")
 	}
