Measure overhead, policies, floods, at-most-once and drain

Change: cmd/loadtest with planner, driver, recorder, bounder, sampler, deployer and scenarist; arrivals are Poisson and open loop, latencies count from the intended send time.

--- /dev/null
+++ b/internal/load/deployer/cluster.go
@@ -0,0 +1,215 @@
+package deployer
+
+import (
+	"context"
+	"fmt"
+	"net/netip"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+	"golang.org/x/sync/errgroup"
+
+	"sardinelever.example/sardinelever/internal/config/parser"
+	"sardinelever.example/sardinelever/internal/load/driver"
+	"sardinelever.example/sardinelever/internal/platform/reader"
+	"sardinelever.example/sardinelever/internal/standin/breaker"
+	"sardinelever.example/sardinelever/internal/standin/launcher"
+	"sardinelever.example/sardinelever/internal/standin/stager"
+	"sardinelever.example/sardinelever/internal/standin/worker"
+)
+
+// Cluster is a running deployment; the exported fields down to Setup are set before Start.
+type Cluster struct {
+	Deployment *Deployment
+	Launcher   *launcher.Launcher // Built already.
+	Instances  int
+	Policy     string               // Policy of the instances; empty means their default.
+	Notice     time.Duration        // Notice of a stopping instance.
+	Fronted    bool                 // Fronted puts a breaker before each backend server.
+	Split      bool                 // Split puts breakers between the instances of different zones.
+	Setup      func(*worker.Worker) // Changes each backend server before it serves.
+
+	Entrance driver.Entrance
+	Ledger   worker.Ledger
+	Stager   stager.Stager
+	Breakers []*breaker.Breaker // Before backend servers, in the order of Stager.Entries.
+	zones    borders
+
+	mu      sync.Mutex
+	running []*launcher.Instance
+	started int
+}
+
+// Zones are the availability zones of each deployment.
+var Zones = []string{"a", "b", "c"}
+
+// Ready bounds the wait for an instance to become ready.
+const readyTime = 15 * time.Second
+
+// Start starts everything and waits until all instances are ready.
+func (c *Cluster) Start(ctx context.Context) error {
+	if c.Notice == 0 {
+		c.Notice = 2 * time.Second
+	}
+	for _, g := range c.Deployment.Parts {
+		g.Setup = c.setup
+		g.Service.Deadline = parser.Duration(5 * time.Second)
+		c.Stager.Groups = append(c.Stager.Groups, g)
+	}
+	c.Stager.Zones = Zones
+	if c.Fronted {
+		c.Stager.Front = c.front
+	}
+	if err := c.Stager.Start(); err != nil {
+		return err
+	}
+	if c.Split {
+		if err := c.zones.start(&c.Stager.Platform); err != nil {
+			return err
+		}
+	}
+	for range c.Instances {
+		if _, err := c.Launch(); err != nil {
+			return err
+		}
+	}
+	var g errgroup.Group
+	for _, i := range c.Running() {
+		g.Go(c.await(ctx, i))
+	}
+	return g.Wait()
+}
+
+func (c *Cluster) setup(w *worker.Worker) {
+	w.Ledger = &c.Ledger
+	if c.Setup != nil {
+		c.Setup(w)
+	}
+}
+
+func (c *Cluster) front(addr netip.AddrPort) (netip.AddrPort, error) {
+	b := &breaker.Breaker{Target: addr}
+	c.Breakers = append(c.Breakers, b)
+	return b.Start()
+}
+
+// await returns a function that waits for i and opens the entrance to it.
+func (c *Cluster) await(ctx context.Context, i *launcher.Instance) func() error {
+	return func() error {
+		for deadline := time.Now().Add(readyTime); time.Now().Before(deadline) && ctx.Err() == nil; {
+			if err := i.Await(time.Second); err == nil {
+				c.Entrance.Add(i.URL())
+				return nil
+			}
+		}
+		return errors.Errorf("instance %s is not ready; see %s", i.Settings.Name, i.Log)
+	}
+}
+
+// Launch starts one more instance, which does not yet receive calls, and lists it.
+func (c *Cluster) Launch() (*launcher.Instance, error) {
+	c.mu.Lock()
+	c.started++
+	n := c.started
+	c.mu.Unlock()
+	return c.launch(fmt.Sprintf("i%02d", n), Zones[(n-1)%len(Zones)])
+}
+
+func (c *Cluster) launch(name, zone string) (*launcher.Instance, error) {
+	s := &parser.Settings{
+		Name: name, Zone: zone, Platform: c.Stager.URL, Policy: c.Policy,
+		Notice: parser.Duration(c.Notice), Plain: true,
+	}
+	if err := launcher.Reserve(s); err != nil {
+		return nil, err
+	}
+	if c.Split {
+		s.Platform = c.zones.url + "/" + zone
+		if err := c.zones.add(s.Peers, zone); err != nil {
+			return nil, err
+		}
+	}
+	i, err := c.Launcher.Start(s)
+	if err != nil {
+		return nil, err
+	}
+	c.mu.Lock()
+	c.running = append(c.running, i)
+	c.mu.Unlock()
+	c.List(nil)
+	return i, nil
+}
+
+// Join waits until i is ready and lets it receive calls.
+func (c *Cluster) Join(ctx context.Context, i *launcher.Instance) error { return c.await(ctx, i)() }
+
+// Replace starts a new instance in place of the ended i, with its name and
+// zone and other addresses, and waits until it receives calls.
+func (c *Cluster) Replace(ctx context.Context, i *launcher.Instance) (*launcher.Instance, error) {
+	c.forget(i)
+	n, err := c.launch(i.Settings.Name, i.Settings.Zone)
+	if err != nil {
+		return nil, err
+	}
+	return n, c.Join(ctx, n)
+}
+
+// Kill ends i at once; the platform's load balancer and list notice after a second.
+func (c *Cluster) Kill(i *launcher.Instance) {
+	_ = i.Signal(syscall.SIGKILL)
+	<-i.Done()
+	time.Sleep(time.Second)
+	c.forget(i)
+	c.List(nil)
+}
+
+func (c *Cluster) forget(i *launcher.Instance) {
+	c.Entrance.Remove(i.URL())
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for n := range c.running {
+		if c.running[n] == i {
+			c.running = append(c.running[:n:n], c.running[n+1:]...)
+			return
+		}
+	}
+}
+
+// Running returns the instances that were started and not ended by the cluster.
+func (c *Cluster) Running() []*launcher.Instance {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return append([]*launcher.Instance(nil), c.running...)
+}
+
+// List publishes the list; leaving names its leaving entries.
+func (c *Cluster) List(leaving map[string]bool) {
+	entries := append([]reader.Entry(nil), c.Stager.Entries...)
+	for _, i := range c.Running() {
+		entries = append(entries, reader.Entry{
+			Name: i.Settings.Name, Address: i.Settings.Callers, Peer: i.Settings.Peers, Zone: i.Settings.Zone, Region: "home",
+		})
+	}
+	for n := range entries {
+		entries[n].Leaving = leaving[entries[n].Name]
+	}
+	c.Stager.Platform.SetList(entries)
+}
+
+// Stop ends all processes and listeners.
+func (c *Cluster) Stop() {
+	for _, i := range c.Running() {
+		_ = i.Signal(syscall.SIGCONT)
+		_ = i.Signal(syscall.SIGKILL)
+	}
+	for _, i := range c.Running() {
+		<-i.Done()
+	}
+	for _, b := range c.Breakers {
+		b.Stop()
+	}
+	c.zones.stop()
+	c.Stager.Stop()
+}
--- /dev/null
+++ b/internal/load/deployer/deployment.go
@@ -0,0 +1,77 @@
+package deployer
+
+import (
+	"net/http"
+	"time"
+
+	"sardinelever.example/sardinelever/internal/config/parser"
+	"sardinelever.example/sardinelever/internal/standin/stager"
+)
+
+// Deployment describes services with stand-in backend servers.
+type Deployment struct {
+	Name  string
+	Reads string // Service of urgent reads.
+	Books string // Service of non-idempotent calls.
+	Scale float64
+	Parts []stager.Group
+}
+
+// Group returns the group of the named service.
+func (d *Deployment) Group(service string) *stager.Group {
+	for i := range d.Parts {
+		if d.Parts[i].Service.Name == service {
+			return &d.Parts[i]
+		}
+	}
+	return nil
+}
+
+// Slots returns the slots of all backend servers of a service.
+func (d *Deployment) Slots(service string) int {
+	g := d.Group(service)
+	return g.Count * g.Service.Slots
+}
+
+// Capacity returns the calls per second with a mean service time that fill all slots.
+func (d *Deployment) Capacity(service string, mean time.Duration) float64 {
+	return float64(d.Slots(service)) / mean.Seconds()
+}
+
+// Mean service times of the ranks, and the shape of their lognormal distribution.
+const (
+	Read  = 20 * time.Millisecond
+	Book  = 50 * time.Millisecond
+	Bulk  = 100 * time.Millisecond
+	Sigma = 1.0
+)
+
+// Named returns the deployment association or fondantier, nil for another name.
+// Scale multiplies service times: with 15 servers of 6 slots, reads of 20 ms
+// would need more calls per second in a flood than one machine can carry.
+func Named(name string) *Deployment {
+	switch name {
+	case "association":
+		return &Deployment{Name: name, Reads: "guidance", Books: "deposits", Scale: 1, Parts: []stager.Group{
+			group("guidance", 20, 2, time.Millisecond), group("inspections", 10, 2, time.Millisecond), group("deposits", 10, 2, time.Millisecond),
+		}}
+	case "fondantier":
+		return &Deployment{Name: name, Reads: "prices", Books: "purchasing", Scale: 2, Parts: []stager.Group{
+			group("prices", 15, 6, 5*time.Millisecond), group("purchasing", 10, 6, 5*time.Millisecond), group("stock", 5, 6, 5*time.Millisecond),
+		}}
+	}
+	return nil
+}
+
+func group(name string, count, slots int, cost time.Duration) stager.Group {
+	return stager.Group{Count: count, Service: parser.Service{
+		Name: name, Slots: slots, Connections: 250, Deadline: parser.Duration(5 * time.Second),
+		Floors: parser.Floors{Normal: 0.10, Patient: 0.05}, Queue: parser.Queue{Calls: 64},
+		Probe: parser.Probe{Path: "/load", Budget: parser.Duration(10 * time.Millisecond), Cost: parser.Duration(cost)},
+		Routes: []parser.Route{
+			{Path: "/lookup", Methods: []string{http.MethodGet}, Rank: parser.Urgent, Idempotent: true},
+			{Path: "/book", Methods: []string{http.MethodPost}, Rank: parser.Normal},
+			{Path: "/bulk", Methods: []string{http.MethodPost}, Rank: parser.Patient},
+		},
+	}}
+}
--- /dev/null
+++ b/internal/load/driver/driver.go
@@ -0,0 +1,64 @@
+package driver
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"sync"
+	"time"
+
+	"sardinelever.example/sardinelever/internal/load/planner"
+	"sardinelever.example/sardinelever/internal/load/recorder"
+)
+
+// Driver sends the calls of Plan; the fields are set before Run.
+type Driver struct {
+	Plan     []planner.Arrival
+	Entrance *Entrance
+	Record   *recorder.Recorder
+	Start    time.Time // Time 0 of Plan; the zero value means the start of Run.
+
+	client *http.Client
+}
+
+// patience is how long a caller waits beyond the deadline of its call.
+const patience = 3 * time.Second
+
+// defaultDeadline is that of a route without one.
+const defaultDeadline = 10 * time.Second
+
+// Run sends all calls and waits for their ends, or until ctx is done.
+func (d *Driver) Run(ctx context.Context) {
+	if d.Start.IsZero() {
+		d.Start = time.Now()
+	}
+	transport := &http.Transport{MaxIdleConnsPerHost: 4096, DisableCompression: true}
+	defer transport.CloseIdleConnections()
+	d.client = &http.Client{Transport: transport}
+	var all sync.WaitGroup
+	for i := range d.Plan {
+		a := &d.Plan[i]
+		c := &call{driver: d, done: &all}
+		c.Arrival, c.Start, c.Name = a, d.Start.Add(a.At), fmt.Sprintf("%d-%d", d.Start.UnixNano(), i)
+		if !sleep(ctx, time.Until(c.Start)) {
+			break
+		}
+		all.Add(1)
+		go c.run(ctx)
+	}
+	all.Wait()
+}
+
+func sleep(ctx context.Context, d time.Duration) bool {
+	if d <= 0 {
+		return ctx.Err() == nil
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/internal/load/scenarist/scenario.go
@@ -0,0 +1,104 @@
+package scenarist
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"text/tabwriter"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"sardinelever.example/sardinelever/internal/load/deployer"
+	"sardinelever.example/sardinelever/internal/standin/launcher"
+)
+
+// ErrName reports a scenario or deployment that does not exist.
+var ErrName = errors.New("name is unknown")
+
+type scenario struct {
+	name     string
+	question string
+	run      func(*Trial) error
+}
+
+// scenarios returns all scenarios in the order in which they are listed.
+func scenarios() []scenario {
+	return []scenario{
+		{"overhead", "How much latency does an instance add to a call below saturation?", overhead},
+		{"policy", "How close is the p99 of urgent calls at 80% of the slots to one central queue, and to the baselines?", policy},
+		{"bulkflood", "Does a flood of patient calls of 5 times capacity slow urgent calls?", bulkFlood},
+		{"urgentflood", "Do the lower ranks keep their floors in a flood of urgent calls of 5 times capacity?", urgentFlood},
+		{"once", "Does a non-idempotent call run at most once while instances are killed and paused and callers retry?", once},
+		{"drain", "Do leaving backend servers and stopping instances cut off calls or receive new ones?", drain},
+	}
+}
+
+// length bounds the run of one scenario.
+const length = 57 * time.Second
+
+// List writes each scenario with the question that it answers.
+func List(w io.Writer) {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	for _, s := range scenarios() {
+		_, _ = fmt.Fprintf(t, "%s\t%s\n", s.name, s.question)
+	}
+	_ = t.Flush()
+}
+
+// Runner runs scenarios; the fields are set before Run.
+type Runner struct {
+	Seed       uint64
+	Instances  int
+	Deployment string
+	Policy     string // Policy restricts the scenario policy to one, and sets it in the others; empty means all, or grant.
+	Report     string // Folder for the report and the plot; empty means none.
+	Binary     *launcher.Launcher
+	Short      bool // Short runs few seconds and lets only counts decide, never durations.
+	Out        io.Writer
+}
+
+// Run runs the named scenario and reports whether it passed.
+func (r *Runner) Run(ctx context.Context, name string) (bool, error) {
+	for _, s := range scenarios() {
+		if s.name == name {
+			return r.run(ctx, s)
+		}
+	}
+	return false, errors.Wrapf(ErrName, "scenario %q", name)
+}
+
+func (r *Runner) run(ctx context.Context, s scenario) (bool, error) {
+	ctx, cancel := context.WithTimeout(ctx, length)
+	defer cancel()
+	d := deployer.Named(r.Deployment)
+	if d == nil {
+		return false, errors.Wrapf(ErrName, "deployment %q", r.Deployment)
+	}
+	t := &Trial{Runner: *r, name: s.name, ctx: ctx, deployment: d}
+	if r.Report != "" {
+		file, err := os.Create(filepath.Join(r.Report, s.name+".txt"))
+		if err != nil {
+			return false, errors.Wrap(err, "report")
+		}
+		defer func() { _ = file.Close() }()
+		t.Out = io.MultiWriter(r.Out, file)
+	}
+	t.printf("%s: %s\n%s, %d instances, seed %d\n", s.name, s.question, d.Name, r.Instances, r.Seed)
+	if err := t.execute(s); err != nil {
+		t.printf("%s: fail %v\n", s.name, err)
+		return false, err
+	}
+	return t.conclude(), nil
+}
+
+// execute runs s and stops what it started.
+func (t *Trial) execute(s scenario) error {
+	defer t.stop()
+	if err := s.run(t); err != nil {
+		return err
+	}
+	return errors.Wrap(t.ctx.Err(), "trial was ended early")
+}
--- /dev/null
+++ b/internal/load/scenarist/usage.go
@@ -0,0 +1,113 @@
+package scenarist
+
+import (
+	"fmt"
+	"os"
+	"time"
+
+	"sardinelever.example/sardinelever/internal/load/deployer"
+	"sardinelever.example/sardinelever/internal/load/sampler"
+	"sardinelever.example/sardinelever/internal/standin/launcher"
+	"sardinelever.example/sardinelever/internal/standin/worker"
+)
+
+// usage is the use of resources of a cluster from begin to print.
+type usage struct {
+	start   time.Time
+	machine sampler.Machine
+	self    sampler.Sample
+	cluster *deployer.Cluster
+	before  map[*launcher.Instance]sampler.Sample
+	control map[*launcher.Instance]float64
+}
+
+func (u *usage) begin(c *deployer.Cluster) {
+	u.start, u.machine, u.cluster = time.Now(), sampler.ReadMachine(), c
+	u.self, _ = sampler.Process(os.Getpid())
+	u.before = make(map[*launcher.Instance]sampler.Sample)
+	u.control = make(map[*launcher.Instance]float64)
+	for _, i := range c.Running() {
+		u.before[i], _ = sampler.Process(i.Pid())
+		u.control[i], _ = control(i)
+	}
+}
+
+// control returns the bytes of control traffic of an instance so far.
+func control(i *launcher.Instance) (float64, bool) {
+	return sampler.Metric(fmt.Sprintf("http://%s/metrics", i.Settings.Operator), "control", "bytes")
+}
+
+// maxMachine is the share of the machine above which calls wait for a
+// processor, so that latencies measure the machine instead of the program.
+const maxMachine = 0.6
+
+// print writes processor time, memory and control traffic; instances that were
+// started or ended meanwhile are left out.
+func (u *usage) print(t *Trial) {
+	passed := time.Since(u.start).Seconds()
+	share := sampler.ReadMachine().Share(u.machine)
+	self, _ := sampler.Process(os.Getpid())
+	var sum, most, bytes float64
+	var memory int64
+	n, served := 0, 0
+	for _, i := range u.cluster.Running() {
+		before, ok := u.before[i]
+		now, err := sampler.Process(i.Pid())
+		if !ok || err != nil {
+			continue
+		}
+		n++
+		cpu := (now.CPU - before.CPU).Seconds() / passed
+		sum, most, memory = sum+cpu, max(most, cpu), max(memory, now.Memory)
+		if b, ok := control(i); ok {
+			bytes, served = max(bytes, (b-u.control[i])/passed), served+1
+		}
+	}
+	t.printf("  machine %.0f%% of all cores; callers and stand-ins %.2f cores; %d instances %.2f cores, at most %.3f, at most %d MB\n",
+		100*share, (self.CPU-u.self.CPU).Seconds()/passed, n, sum, most, memory>>20)
+	if served > 0 {
+		t.printf("  control traffic at most %.0f B/s by %d instances' own count\n", bytes, served)
+	}
+	if share > maxMachine {
+		t.printf("  warning: the machine was above %.0f%%, latencies include waiting for a processor\n", 100*maxMachine)
+	}
+}
+
+// measuring prints and judges the probes: in no second may the probes of a
+// backend server cost more than its budget.
+func (t *Trial) measuring(c *deployer.Cluster) {
+	var total, worst int
+	var worstShare float64
+	var name string
+	for i := range t.deployment.Parts {
+		s := &t.deployment.Parts[i].Service
+		for _, w := range c.Stager.Workers[s.Name] {
+			times := w.ProbeTimes()
+			total += len(times)
+			most := perSecond(times)
+			share := float64(most) * s.Probe.Cost.Std().Seconds() / s.Probe.Budget.Std().Seconds()
+			if share > worstShare {
+				worst, worstShare, name = most, share, w.Name
+			}
+		}
+	}
+	t.printf("  probes: %d in all, at most %d in a second at one backend server (%s), %.0f%% of its budget\n", total, worst, name, 100*worstShare)
+	if worstShare > 1 {
+		t.count(false, "probes of %s cost %.0f%% of its budget in one second", name, 100*worstShare)
+	}
+}
+
+// perSecond returns the largest number of times within any one second.
+func perSecond(times []time.Time) int {
+	most, first := 0, 0
+	for i := range times {
+		for times[i].Sub(times[first]) >= time.Second {
+			first++
+		}
+		most = max(most, i-first+1)
+	}
+	return most
+}
+
+// workers returns all backend servers of a service of c.
+func workers(c *deployer.Cluster, service string) []*worker.Worker { return c.Stager.Workers[service] }
