Guard the requests of a probe test

Cause: a silent connection of the test's backend server may still be served while the next one is; both appended to one slice (seen by the race detector). Change: a mutex in the test's server. Conclusion: the fault was in the test's server, not in the prober.

--- a/internal/route/prober/prober_test.go
+++ b/internal/route/prober/prober_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -19,7 +20,9 @@
 
 // server answers each connection with the next of its texts; an empty one never answers.
 type server struct {
-	texts    []string
+	texts []string
+
+	mu       sync.Mutex // Guards requests: a silent connection may outlive its probe.
 	requests []string
 }
 
@@ -40,7 +43,9 @@
 	if err != nil {
 		return
 	}
+	s.mu.Lock()
 	s.requests = append(s.requests, r.Method+" "+r.URL.Path)
+	s.mu.Unlock()
 	if text == "" {
 		_, _ = io.Copy(io.Discard, conn)
 		return
