Cover a process replaced within a time slot, and lock the test's server

Cause: in trials, a missing wait after the start passed TestBudget, because a replacement within a time slot is rare; the server of TestSilent recorded requests from two goroutines without a lock, which the race detector reported in 2 of 15 runs. Change: TestReplaced replaces a process right after its probe by one whose clock is behind; a lock in the test's server. Before: TestSend alone found the missing wait. Conclusion: the rule itself is unchanged.

--- a/internal/route/prober/planner_test.go
+++ b/internal/route/prober/planner_test.go
@@ -143,6 +143,24 @@
 	}
 }
 
+// TestReplaced guards against a process that probes a backend server in the
+// same time slot as the process which it replaces, because its clock is behind.
+func TestReplaced(t *testing.T) {
+	v := view(parser.Probe{}, names(1), 1)
+	replaced := prober.Next(epoch, v).Add(-clockError*time.Millisecond + 1) // Just after a probe.
+	old := life{name: "i0", clock: clockError * time.Millisecond, from: epoch.Add(-time.Minute), to: replaced}
+	young := life{name: "i0", clock: -clockError * time.Millisecond, from: replaced, to: epoch.Add(time.Minute)}
+	records := append(old.run(v, v), young.run(v, v)...)
+	for i := range records[1:] {
+		if got := records[i+1].at.Sub(records[i].at); got < time.Second {
+			t.Errorf("got %v between the probes %d and %d, want at least 1 s", got, i, i+1)
+		}
+	}
+	if got := len(records); got < 60 {
+		t.Errorf("got %d probes in 2 min, want at least 60", got)
+	}
+}
+
 // TestClocks guards against a period that is too short for two clocks that
 // err by 99 ms in opposite directions and probes that are as late as allowed,
 // and against a send time so near to the edge of a time slot that the clocks
--- a/internal/route/prober/prober_test.go
+++ b/internal/route/prober/prober_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -20,6 +21,7 @@
 // server answers each connection with the next of its texts; an empty one never answers.
 type server struct {
 	texts    []string
+	mu       sync.Mutex
 	requests []string
 }
 
@@ -40,7 +42,7 @@
 	if err != nil {
 		return
 	}
-	s.requests = append(s.requests, r.Method+" "+r.URL.Path)
+	s.note(r.Method + " " + r.URL.Path)
 	if text == "" {
 		_, _ = io.Copy(io.Discard, conn)
 		return
@@ -48,6 +50,12 @@
 	_, _ = io.WriteString(conn, text)
 }
 
+func (s *server) note(request string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.requests = append(s.requests, request)
+}
+
 // start runs a prober of one backend server until test returns.
 func start(t *testing.T, s *server, test func(p *prober.Prober, figures <-chan prober.Figure)) {
 	t.Helper()
