--- a/internal/route/prober/prober_test.go
+++ b/internal/route/prober/prober_test.go
@@ -20,9 +20,8 @@
 
 // server answers each connection with the next of its texts; an empty one never answers.
 type server struct {
-	texts []string
-
-	mu       sync.Mutex // Guards requests: a silent connection may outlive its probe.
+	texts    []string
+	mu       sync.Mutex
 	requests []string
 }
 
@@ -43,9 +42,7 @@
 	if err != nil {
 		return
 	}
-	s.mu.Lock()
-	s.requests = append(s.requests, r.Method+" "+r.URL.Path)
-	s.mu.Unlock()
+	s.note(r.Method + " " + r.URL.Path)
 	if text == "" {
 		_, _ = io.Copy(io.Discard, conn)
 		return
@@ -53,6 +50,12 @@
 	_, _ = io.WriteString(conn, text)
 }
 
+func (s *server) note(request string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.requests = append(s.requests, request)
+}
+
 // start runs a prober of one backend server until test returns.
 func start(t *testing.T, s *server, test func(p *prober.Prober, figures <-chan prober.Figure)) {
 	t.Helper()
