Add sessions between instances

Cause: instances had no links to each other. Change: linker.Linker holds yamux sessions over TCP with mutual TLS. One session serves both directions: an accepted session is used for streams to the address that the peer announces in Hello (new field peer). Concurrent callers share a dial; dials pause with jitter; idle sessions close. Key files are reloaded at a handshake after a change. Other versions, foreign certificates and oversized first messages are refused and audited. The header of a yamux frame and its body go out in one write.

--- a/internal/fleet/linker/kind.go
+++ b/internal/fleet/linker/kind.go
@@ -1,5 +1,12 @@
 package linker
 
+import (
+	"net"
+	"net/netip"
+
+	"sardinelever.example/sardinelever/internal/fleet/messenger"
+)
+
 // Kind is the first byte of a stream and says what the stream carries.
 type Kind byte
 
@@ -9,3 +16,70 @@
 	Grant   Kind = 'g' // Messages of messenger.Grant.
 	Call    Kind = 'h' // Calls as HTTP/1.1.
 )
+
+var kinds = [...]Kind{Control, Grant, Call}
+
+// String returns the name of the kind in metrics and logs.
+func (k Kind) String() string {
+	switch k {
+	case Control:
+		return "control"
+	case Grant:
+		return "grant"
+	case Call:
+		return "call"
+	}
+	return "unknown"
+}
+
+func (k Kind) index() int {
+	for i, x := range kinds {
+		if x == k {
+			return i
+		}
+	}
+	return -1
+}
+
+// Hello is what an instance says of itself when a session starts.
+type Hello struct {
+	Version     uint32 // Major version of the protocol.
+	Name        string
+	Incarnation uint64 // Start of its process, nanoseconds since 1970.
+	Zone        string
+	Region      string
+	Peer        netip.AddrPort // Listener for other instances; zero when unknown.
+}
+
+func (h Hello) message() *messenger.Hello {
+	m := &messenger.Hello{
+		Version: h.Version, Name: h.Name, Incarnation: h.Incarnation, Zone: h.Zone, Region: h.Region,
+	}
+	if h.Peer.IsValid() {
+		m.Peer, _ = h.Peer.MarshalBinary()
+	}
+	return m
+}
+
+func parseHello(m *messenger.Hello) (Hello, error) {
+	h := Hello{
+		Version: m.GetVersion(), Name: m.GetName(), Incarnation: m.GetIncarnation(),
+		Zone: m.GetZone(), Region: m.GetRegion(),
+	}
+	if len(m.GetPeer()) == 0 {
+		return h, nil
+	}
+	return h, h.Peer.UnmarshalBinary(m.GetPeer())
+}
+
+// Handler serves the incoming streams of one kind. The stream is closed when
+// Serve returns.
+type Handler interface {
+	Serve(from Hello, conn net.Conn)
+}
+
+// HandlerFunc is a function that serves streams.
+type HandlerFunc func(from Hello, conn net.Conn)
+
+// Serve calls f.
+func (f HandlerFunc) Serve(from Hello, conn net.Conn) { f(from, conn) }
--- /dev/null
+++ b/internal/fleet/linker/linker.go
@@ -0,0 +1,326 @@
+package linker
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/hashicorp/yamux"
+	"github.com/phuslu/log"
+	"github.com/pkg/errors"
+	"golang.org/x/time/rate"
+
+	"sardinelever.example/sardinelever/internal/config/parser"
+	"sardinelever.example/sardinelever/internal/operator/auditor"
+)
+
+// Version is the major version of the protocol between instances.
+const Version = 1
+
+// Errors of a Linker.
+var (
+	ErrClosed  = errors.New("linker is closed")
+	ErrRefused = errors.New("session is refused")
+	ErrDial    = errors.New("instance is not reached")
+)
+
+// Linker holds the sessions of one instance. Its fields are set before Bind,
+// Run and Open.
+type Linker struct {
+	Name        string
+	Incarnation uint64 // Start of this process, nanoseconds since 1970.
+	Zone        string
+	Region      string
+	Listen      netip.AddrPort
+	TLS         parser.TLS // Key files; unused when Plain is set.
+	Plain       bool       // Plain leaves links unencrypted.
+	Audit       *auditor.Auditor
+	Handlers    map[Kind]Handler
+	Lost        func(peer netip.AddrPort, err error) // Called after a failed dial and a broken session; must not block; may be nil.
+	Version     uint32                               // Major version to announce; 0 means the constant Version.
+
+	Dial      time.Duration // Limit of connecting, TLS and Hello together; 0 means 1s.
+	Keepalive time.Duration // Period of pings on a session; 0 means 2s.
+	Write     time.Duration // Limit of a write and of a ping; 0 means 3s.
+	Backoff   time.Duration // Longest pause between dials of one address; 0 means 1s.
+	Idle      time.Duration // Age at which a session without streams is closed; 0 means 60s.
+
+	once     sync.Once
+	ctx      context.Context
+	cancel   context.CancelFunc
+	bindErr  error
+	listener net.Listener
+	keys     *keys
+	config   *yamux.Config
+	pending  chan struct{} // Limits handshakes of accepted connections.
+	audits   *rate.Limiter
+	tasks    sync.WaitGroup
+
+	mu       sync.Mutex
+	closed   bool
+	links    map[netip.AddrPort]*link
+	sessions map[*session]struct{}
+
+	counts  [len(kinds)]counter
+	wire    counter
+	refused atomic.Uint64
+}
+
+const (
+	maxPending = 64 // Concurrent handshakes of accepted connections.
+	minBackoff = 50 * time.Millisecond
+)
+
+func (l *Linker) init() {
+	l.ctx, l.cancel = context.WithCancel(context.Background())
+	setDefault(&l.Dial, time.Second)
+	setDefault(&l.Keepalive, 2*time.Second)
+	setDefault(&l.Write, 3*time.Second)
+	setDefault(&l.Backoff, time.Second)
+	setDefault(&l.Idle, time.Minute)
+	if l.Version == 0 {
+		l.Version = Version
+	}
+	l.config = yamux.DefaultConfig()
+	l.config.KeepAliveInterval = l.Keepalive
+	l.config.ConnectionWriteTimeout = l.Write
+	l.config.StreamOpenTimeout = l.Write
+	l.config.StreamCloseTimeout = 10 * time.Second
+	l.config.LogOutput, l.config.Logger = nil, logger{}
+	l.pending = make(chan struct{}, maxPending)
+	// Scans of the port must not displace the rest of the audit trail.
+	l.audits = rate.NewLimiter(1, 20)
+	l.links = make(map[netip.AddrPort]*link)
+	l.sessions = make(map[*session]struct{})
+	if !l.Plain {
+		l.keys = &keys{files: l.TLS, audit: l.Audit}
+		if _, _, l.bindErr = l.keys.load(); l.bindErr != nil {
+			return
+		}
+	}
+	if !l.Listen.IsValid() {
+		return
+	}
+	l.listener, l.bindErr = net.Listen("tcp", l.Listen.String())
+	l.bindErr = errors.Wrap(l.bindErr, "linker")
+}
+
+func setDefault(d *time.Duration, v time.Duration) {
+	if *d == 0 {
+		*d = v
+	}
+}
+
+// Bind opens the listener and loads the key files. Run calls it when the caller
+// did not.
+func (l *Linker) Bind() error {
+	l.once.Do(l.init)
+	return l.bindErr
+}
+
+// Addr returns the address of the listener after Bind, zero without a listener.
+func (l *Linker) Addr() netip.AddrPort {
+	if l.listener == nil {
+		return netip.AddrPort{}
+	}
+	return l.listener.Addr().(*net.TCPAddr).AddrPort()
+}
+
+// Run accepts sessions until ctx is done, then closes all sessions and waits
+// for the handlers.
+func (l *Linker) Run(ctx context.Context) error {
+	if err := l.Bind(); err != nil {
+		return err
+	}
+	if l.listener != nil {
+		l.tasks.Add(1)
+		go l.loop()
+	}
+	sweep := time.NewTicker(max(l.Idle/8, 10*time.Millisecond))
+	defer sweep.Stop()
+	for ctx.Err() == nil {
+		select {
+		case <-ctx.Done():
+		case <-sweep.C:
+			l.sweep(time.Now())
+		}
+	}
+	l.close()
+	l.tasks.Wait()
+	return nil
+}
+
+func (l *Linker) close() {
+	l.mu.Lock()
+	l.closed = true
+	open := make([]*session, 0, len(l.sessions))
+	for s := range l.sessions {
+		open = append(open, s)
+	}
+	l.mu.Unlock()
+	l.cancel()
+	if l.listener != nil {
+		_ = l.listener.Close()
+	}
+	for _, s := range open {
+		_ = s.mux.Close()
+	}
+}
+
+// loop accepts connections.
+func (l *Linker) loop() {
+	defer l.tasks.Done()
+	for l.ctx.Err() == nil {
+		conn, err := l.listener.Accept()
+		if err != nil {
+			if l.ctx.Err() == nil {
+				log.Warn().Err(err).Msg("fleet: accept failed")
+				time.Sleep(minBackoff) // Accept fails at once while file descriptors are short.
+			}
+			continue
+		}
+		select {
+		case l.pending <- struct{}{}:
+		default:
+			l.refuse(conn.RemoteAddr().String(), errors.Wrapf(ErrRefused, "more than %d handshakes at once", maxPending))
+			_ = conn.Close()
+			continue
+		}
+		if !l.start() {
+			_ = conn.Close()
+			return
+		}
+		go l.run(conn)
+	}
+}
+
+// start counts a goroutine, unless the Linker is closed.
+func (l *Linker) start() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.closed {
+		return false
+	}
+	l.tasks.Add(1)
+	return true
+}
+
+// run makes a session of an accepted connection and serves it.
+func (l *Linker) run(conn net.Conn) {
+	defer l.tasks.Done()
+	s, err := l.accept(conn)
+	<-l.pending
+	if err != nil {
+		if l.ctx.Err() == nil {
+			l.refuse(conn.RemoteAddr().String(), err)
+		}
+		return
+	}
+	if a := s.from.Peer; a.IsValid() {
+		l.link(a).offer(s)
+	}
+	s.loop()
+}
+
+func (l *Linker) refuse(remote string, err error) {
+	l.refused.Add(1)
+	if l.audits.Allow() {
+		l.Audit.Note(auditor.Change{Part: "fleet", Subject: remote, Cause: err.Error(), Before: "connecting", After: "refused"})
+	}
+}
+
+// link returns the cache entry of peer.
+func (l *Linker) link(peer netip.AddrPort) *link {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	k := l.links[peer]
+	if k == nil {
+		k = &link{linker: l, peer: peer}
+		l.links[peer] = k
+	}
+	return k
+}
+
+// Open opens a stream of kind k to the instance that listens at peer. An error
+// means that nothing was sent on the stream. The connection is a *Stream.
+func (l *Linker) Open(ctx context.Context, peer netip.AddrPort, k Kind) (net.Conn, error) {
+	if err := l.Bind(); err != nil {
+		return nil, err
+	}
+	var err error
+	for range 2 { // A cached session may close between the look-up and the first use.
+		var s *session
+		if s, err = l.link(peer).session(ctx); err != nil {
+			return nil, err
+		}
+		var st *Stream
+		if st, err = s.open(ctx, k); err == nil {
+			return st, nil
+		}
+		if ctx.Err() != nil {
+			break
+		}
+	}
+	return nil, errors.Wrapf(err, "stream to %s", peer)
+}
+
+// Redial connects to peer anew, whatever session is cached, and caches the new
+// session. It proves that the peer accepts sessions now.
+func (l *Linker) Redial(ctx context.Context, peer netip.AddrPort) (Hello, error) {
+	if err := l.Bind(); err != nil {
+		return Hello{}, err
+	}
+	s, err := l.link(peer).dial(ctx)
+	if err != nil {
+		return Hello{}, err
+	}
+	return s.from, nil
+}
+
+// sweep closes idle sessions that this side dialed, and forgets links that hold
+// nothing.
+func (l *Linker) sweep(now time.Time) {
+	l.mu.Lock()
+	var idle []*session
+	for s := range l.sessions {
+		if s.dialed && s.idle(now) > l.Idle {
+			idle = append(idle, s)
+		}
+	}
+	for a, k := range l.links {
+		if k.empty(now) {
+			delete(l.links, a)
+		}
+	}
+	l.mu.Unlock()
+	for _, s := range idle {
+		s.ended.Store(true)
+		_ = s.mux.GoAway()
+		_ = s.mux.Close()
+	}
+}
+
+func (l *Linker) lost(peer netip.AddrPort, err error) {
+	if l.Lost != nil && l.ctx.Err() == nil {
+		l.Lost(peer, err)
+	}
+}
+
+// pause returns the time before the next dial after fails failures in a row:
+// exponential, with jitter of half.
+func (l *Linker) pause(fails int) time.Duration {
+	d := min(minBackoff<<min(fails-1, 10), l.Backoff)
+	return d/2 + rand.N(d/2+1)
+}
+
+// logger passes the log lines of yamux on at level debug: every cause that
+// matters also ends a session, which is reported as an error.
+type logger struct{}
+
+func (logger) Print(v ...any)                 { log.Debug().Msgs(v...) }
+func (logger) Printf(format string, v ...any) { log.Debug().Msgf("fleet: "+format, v...) }
+func (logger) Println(v ...any)               { log.Debug().Msgs(v...) }
--- /dev/null
+++ b/internal/fleet/linker/linker_test.go
@@ -0,0 +1,226 @@
+package linker_test
+
+import (
+	"context"
+	"io"
+	"maps"
+	"net"
+	"net/netip"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/yamux"
+
+	"sardinelever.example/sardinelever/internal/config/parser"
+	"sardinelever.example/sardinelever/internal/fleet/linker"
+	"sardinelever.example/sardinelever/internal/operator/auditor"
+)
+
+// limit is the deadline of whole tests; nothing asserts a shorter time.
+const limit = 20 * time.Second
+
+func echo(_ linker.Hello, c net.Conn) { _, _ = io.Copy(c, c) }
+
+// start runs a Linker on a loopback port until the test ends or stop is called.
+func start(t testing.TB, l *linker.Linker) (stop func()) {
+	t.Helper()
+	if !l.Listen.IsValid() {
+		l.Listen = netip.MustParseAddrPort("127.0.0.1:0")
+	}
+	if l.Handlers == nil {
+		l.Handlers = map[linker.Kind]linker.Handler{linker.Control: linker.HandlerFunc(echo), linker.Call: linker.HandlerFunc(echo)}
+	}
+	l.Audit = &auditor.Auditor{}
+	if err := l.Bind(); err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	var wg sync.WaitGroup
+	wg.Go(func() { _ = l.Run(ctx) })
+	stop = func() { cancel(); wg.Wait() }
+	t.Cleanup(stop)
+	return stop
+}
+
+func within(t testing.TB) context.Context {
+	ctx, cancel := context.WithTimeout(t.Context(), limit)
+	t.Cleanup(cancel)
+	return ctx
+}
+
+func eventually(t testing.TB, what string, ok func() bool) {
+	t.Helper()
+	for end := time.Now().Add(limit); !ok(); time.Sleep(2 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("%s: not within %v", what, limit)
+		}
+	}
+}
+
+func exchange(t testing.TB, c net.Conn, text string) {
+	t.Helper()
+	_ = c.SetDeadline(time.Now().Add(limit))
+	if _, err := io.WriteString(c, text); err != nil {
+		t.Fatal(err)
+	}
+	got := make([]byte, len(text))
+	if _, err := io.ReadFull(c, got); err != nil || string(got) != text {
+		t.Fatalf("got %q, %v, want %q", got, err, text)
+	}
+}
+
+// TestOpen guards against one dial for each caller, a second session for the
+// other direction, and byte counts that mix kinds.
+func TestOpen(t *testing.T) {
+	t.Run("plain", func(t *testing.T) { testOpen(t, true, parser.TLS{}) })
+	t.Run("tls", func(t *testing.T) { testOpen(t, false, issue(t, t.TempDir(), newCA(t))) })
+}
+
+func testOpen(t *testing.T, plain bool, files parser.TLS) {
+	a := &linker.Linker{Name: "a", Incarnation: 1, Plain: plain, TLS: files}
+	b := &linker.Linker{Name: "b", Incarnation: 2, Plain: plain, TLS: files}
+	start(t, a)
+	start(t, b)
+	var wg sync.WaitGroup
+	for range 20 {
+		wg.Go(func() {
+			c, err := a.Open(within(t), b.Addr(), linker.Call)
+			if err != nil {
+				t.Error(err)
+				return
+			}
+			exchange(t, c, "hello")
+			if got := c.(*linker.Stream).From().Name; got != "b" {
+				t.Errorf("got peer %q, want b", got)
+			}
+			_ = c.Close()
+		})
+	}
+	wg.Wait()
+	eventually(t, "accepted session", func() bool { return len(b.Counts().Sessions) == 1 })
+	c, err := b.Open(within(t), a.Addr(), linker.Control)
+	if err != nil {
+		t.Fatal(err)
+	}
+	exchange(t, c, "back")
+	if got := len(a.Counts().Sessions); got != 1 {
+		t.Errorf("got %d sessions, want 1 for both directions", got)
+	}
+	// Counts exclude the byte that gives the kind; a write counts after its
+	// bytes may have been answered.
+	want := map[linker.Kind]linker.Count{linker.Call: {In: 100, Out: 100}, linker.Control: {In: 4, Out: 4}, linker.Grant: {}}
+	eventually(t, "counts of each kind", func() bool { return maps.Equal(a.Counts().Kinds, want) })
+}
+
+// TestRefused guards against a session with a peer of another major version,
+// with a foreign certificate or with an oversized first message.
+func TestRefused(t *testing.T) {
+	ca := newCA(t)
+	files := issue(t, t.TempDir(), ca)
+	tests := []struct {
+		name string
+		want string
+		peer *linker.Linker
+	}{
+		{"version", "version 9", &linker.Linker{Name: "b", Version: 9, TLS: files}},
+		{"certificate", "tls", &linker.Linker{Name: "b", TLS: issue(t, t.TempDir(), newCA(t))}},
+		{"size", "hello", &linker.Linker{Name: strings.Repeat("b", 2000), TLS: files}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) { testRefused(t, &linker.Linker{Name: "a", TLS: files}, test.peer, test.want) })
+	}
+}
+
+func testRefused(t *testing.T, a, peer *linker.Linker, want string) {
+	start(t, a)
+	start(t, peer)
+	if c, err := peer.Open(within(t), a.Addr(), linker.Call); err == nil {
+		t.Errorf("got stream %v, want an error", c)
+	}
+	eventually(t, "audited refusal", func() bool {
+		return slices.ContainsFunc(a.Audit.Changes(), func(c auditor.Change) bool {
+			return c.After == "refused" && strings.Contains(c.Cause, want)
+		})
+	})
+	if c, err := a.Open(within(t), peer.Addr(), linker.Call); err == nil {
+		t.Errorf("dialing: got stream %v, want an error", c)
+	}
+	if n := len(a.Counts().Sessions); n != 0 {
+		t.Errorf("got %d sessions, want 0", n)
+	}
+}
+
+// TestOversizedFrame guards against memory for a first message whose length
+// field is huge and against a handshake that never ends.
+func TestOversizedFrame(t *testing.T) {
+	a := &linker.Linker{Name: "a", Plain: true}
+	start(t, a)
+	conn, err := net.Dial("tcp", a.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	mux, err := yamux.Client(conn, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	st, err := mux.Open()
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, _ = st.Write([]byte{0xff, 0xff, 0xff, 0xff, 0x7f})
+	select {
+	case <-mux.CloseChan():
+	case <-time.After(limit):
+		t.Fatal("session stays open")
+	}
+	eventually(t, "counted refusal", func() bool { return a.Counts().Refused == 1 })
+}
+
+// TestReplaced guards against use of a dead session after the process at an
+// address was replaced.
+func TestReplaced(t *testing.T) {
+	lost := make(chan netip.AddrPort, 16)
+	a := &linker.Linker{Name: "a", Plain: true, Lost: func(p netip.AddrPort, _ error) { lost <- p }}
+	b := &linker.Linker{Name: "b", Incarnation: 1, Plain: true}
+	start(t, a)
+	stop := start(t, b)
+	c, err := a.Open(within(t), b.Addr(), linker.Call)
+	if err != nil {
+		t.Fatal(err)
+	}
+	exchange(t, c, "first")
+	stop()
+	if got := <-lost; got != b.Addr() {
+		t.Errorf("got lost %v, want %v", got, b.Addr())
+	}
+	if _, err := c.Read(make([]byte, 1)); err == nil {
+		t.Error("stream of a dead session still reads")
+	}
+	if _, err := a.Open(within(t), b.Addr(), linker.Call); err == nil {
+		t.Error("opened a stream to a stopped instance")
+	}
+	next := &linker.Linker{Name: "b", Incarnation: 2, Plain: true, Listen: b.Addr()}
+	start(t, next)
+	eventually(t, "stream to the replacement", func() bool {
+		c, err := a.Open(within(t), next.Addr(), linker.Call)
+		return err == nil && c.(*linker.Stream).From().Incarnation == 2
+	})
+}
+
+// TestIdle guards against sessions that stay open without any use.
+func TestIdle(t *testing.T) {
+	a := &linker.Linker{Name: "a", Plain: true, Idle: 50 * time.Millisecond}
+	b := &linker.Linker{Name: "b", Plain: true}
+	start(t, a)
+	start(t, b)
+	c, err := a.Open(within(t), b.Addr(), linker.Call)
+	if err != nil {
+		t.Fatal(err)
+	}
+	exchange(t, c, "busy")
+	_ = c.Close()
+	eventually(t, "closed sessions", func() bool { return len(a.Counts().Sessions)+len(b.Counts().Sessions) == 0 })
+}
--- a/internal/fleet/messenger/frame.go
+++ b/internal/fleet/messenger/frame.go
@@ -23,8 +23,11 @@
 
 // Read reads one message into m. It returns io.EOF at the end of the stream
 // and ErrFrame for a message that is not acceptable.
-func Read(r *bufio.Reader, m proto.Message) error {
-	err := protodelim.UnmarshalOptions{MaxSize: MaxFrame}.UnmarshalFrom(r, m)
+func Read(r *bufio.Reader, m proto.Message) error { return ReadLimit(r, m, MaxFrame) }
+
+// ReadLimit is Read for a message of at most limit bytes.
+func ReadLimit(r *bufio.Reader, m proto.Message, limit int64) error {
+	err := protodelim.UnmarshalOptions{MaxSize: limit}.UnmarshalFrom(r, m)
 	if err == nil || errors.Is(err, io.EOF) {
 		return err
 	}
