--- a/internal/fleet/linker/session.go
+++ b/internal/fleet/linker/session.go
@@ -85,11 +85,7 @@
 		_ = s.mux.Close()
 		return nil, errors.Wrapf(ErrRefused, "hello: %v", err)
 	}
-	if err := s.admit(st, false); err != nil {
-		return nil, err
-	}
-	s.peer = s.from.Peer
-	return s, nil
+	return s, s.admit(st, false)
 }
 
 // admit exchanges Hello on the first stream and registers the session. Each
@@ -105,6 +101,9 @@
 	if err == nil {
 		_ = s.conn.raw.SetDeadline(time.Time{})
 		s.last.Store(time.Now().UnixNano())
+		if !first {
+			s.peer = s.from.Peer
+		}
 		l.mu.Lock()
 		if l.closed {
 			err = ErrClosed
--- a/internal/fleet/messenger/frame.go
+++ b/internal/fleet/messenger/frame.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"io"
 
 	"github.com/pkg/errors"
@@ -15,9 +16,14 @@
 // ErrFrame reports a message that is too large or cannot be decoded.
 var ErrFrame = errors.New("message is not acceptable")
 
-// Write writes m with its length to w.
+// Write writes m with its length to w. It calls Write of w once: each call
+// costs a frame of yamux and a record of TLS.
 func Write(w io.Writer, m proto.Message) error {
-	_, err := protodelim.MarshalTo(w, m)
+	var b bytes.Buffer
+	if _, err := protodelim.MarshalTo(&b, m); err != nil {
+		return errors.Wrap(err, "message encoding")
+	}
+	_, err := w.Write(b.Bytes())
 	return errors.Wrap(err, "message write")
 }
 
--- /dev/null
+++ b/internal/fleet/registrar/list_test.go
@@ -0,0 +1,155 @@
+package registrar_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"sardinelever.example/sardinelever/internal/fleet/placer"
+	"sardinelever.example/sardinelever/internal/fleet/registrar"
+	"sardinelever.example/sardinelever/internal/operator/auditor"
+	"sardinelever.example/sardinelever/internal/platform/reader"
+)
+
+// clocked is a Registrar without links on a clock of the test.
+type clocked struct {
+	*registrar.Registrar
+	now time.Time
+}
+
+func newClocked() *clocked {
+	c := &clocked{now: epoch}
+	c.Registrar = &registrar.Registrar{Name: "i0", Zone: "z0", Region: "home", Audit: &auditor.Auditor{}}
+	c.Clock = func() time.Time { return c.now }
+	return c
+}
+
+// read applies a list of the numbered instances after d.
+func (c *clocked) read(d time.Duration, numbers ...int) {
+	c.now = c.now.Add(d)
+	l := &reader.List{Time: c.now}
+	for _, i := range numbers {
+		m := member(i)
+		l.Entries = append(l.Entries, reader.Entry{Name: m.Name, Zone: m.Zone, Region: m.Region, Peer: m.Peer})
+	}
+	c.SetList(l, c.now)
+}
+
+func (c *clocked) names() string { return fmt.Sprint(c.Believed().Names) }
+
+// TestShortList guards against members lost to an empty or short list, a short
+// list that never applies, and a held list that counts as a fresh read.
+func TestShortList(t *testing.T) {
+	c := newClocked()
+	c.read(0)
+	if !c.Believed().Read.IsZero() {
+		t.Error("an empty first list counts as read")
+	}
+	c.read(time.Second, 0, 1, 2, 3, 4)
+	read := c.now
+	for _, numbers := range [][]int{{}, {0, 1}} {
+		c.read(time.Second, numbers...)
+		if got, want := c.names(), "[i0 i1 i2 i3 i4]"; got != want || !c.Believed().Read.Equal(read) {
+			t.Errorf("list %v: got %s read at %v, want %s at %v", numbers, got, c.Believed().Read, want, read)
+		}
+	}
+	if got := c.Audit.Changes(); got[len(got)-1].After != "held" {
+		t.Errorf("got audit %v, want one of the held list", got[len(got)-1])
+	}
+	c.read(59*time.Second, 0, 1)
+	if got, want := c.names(), "[i0 i1]"; got != want {
+		t.Errorf("after 60 s: got %s, want %s", got, want)
+	}
+	c.read(time.Second, 0)
+	if got, want := c.names(), "[i0]"; got != want {
+		t.Errorf("half removed: got %s, want %s", got, want)
+	}
+}
+
+// TestOldList guards against a platform answer from the past that brings back
+// members.
+func TestOldList(t *testing.T) {
+	c := newClocked()
+	c.read(time.Minute, 0, 1, 2)
+	c.SetList(&reader.List{Time: epoch, Entries: []reader.Entry{{Name: "i7"}, {Name: "i0"}, {Name: "i1"}, {Name: "i2"}}}, c.now)
+	if got, want := c.names(), "[i0 i1 i2]"; got != want {
+		t.Errorf("got %s, want %s", got, want)
+	}
+}
+
+// TestUsable guards against homes in another zone while the own one has some,
+// and against homes that leave or were not reached.
+func TestUsable(t *testing.T) {
+	c := newClocked()
+	c.read(0, 0, 1, 2, 3, 4)
+	names := func(zone string) (out []string) {
+		for _, m := range c.Usable(zone, "home") {
+			out = append(out, m.Name)
+		}
+		return out
+	}
+	if got, want := names("z1"), []string{"i1", "i4"}; !slices.Equal(got, want) {
+		t.Errorf("got %v, want %v", got, want)
+	}
+	c.Failed("i1")
+	c.Failed("i4")
+	if got, want := names("z1"), []string{"i0", "i2", "i3"}; !slices.Equal(got, want) {
+		t.Errorf("failed zone: got %v, want %v", got, want)
+	}
+	c.Leave()
+	c.now = c.now.Add(2 * time.Second)
+	if got, want := names("z0"), []string{"i3"}; !slices.Equal(got, want) {
+		t.Errorf("leaving: got %v, want %v", got, want)
+	}
+}
+
+// past is one read of a list.
+type past struct {
+	time  time.Time
+	names []string
+}
+
+// place computes what Roster.Place returns from all reads.
+func place(key string, reads []past) (string, time.Time) {
+	last := reads[len(reads)-1]
+	first, since := placer.First(key, last.names), last.time
+	for _, r := range slices.Backward(reads) {
+		if since.Sub(r.time) > 10*time.Second || placer.First(key, r.names) != first {
+			break
+		}
+		since = r.time
+	}
+	return first, since
+}
+
+// TestPlace guards against a place that counts as continuous although another
+// instance was the place in some read or nothing was read for long: a call
+// could then run twice.
+func TestPlace(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		c := newClocked()
+		var reads []past
+		for range rapid.IntRange(1, 30).Draw(rt, "reads") {
+			d := rapid.SampledFrom([]int{1, 1, 1, 2, 9, 10, 11, 60}).Draw(rt, "pause")
+			numbers := []int{0, 1, 2, 3, 4, 5, 6} // More than half stay, so no list is held.
+			for i := range 4 {
+				if rapid.Bool().Draw(rt, "add") {
+					numbers = append(numbers, 7+i)
+				}
+			}
+			c.read(time.Duration(d)*time.Second, numbers...)
+			reads = append(reads, past{c.now, c.Believed().Names})
+		}
+		for k := range 20 {
+			key := fmt.Sprint("key", k)
+			want, wantSince := place(key, reads)
+			got, since := c.Believed().Place(key)
+			if got != want || !since.Equal(wantSince) {
+				rt.Fatalf("%s: got %s since %v, want %s since %v", key, got, since, want, wantSince)
+			}
+		}
+	})
+}
--- a/internal/fleet/registrar/member.go
+++ b/internal/fleet/registrar/member.go
@@ -1,6 +1,9 @@
 package registrar
 
-import "net/netip"
+import (
+	"net/netip"
+	"time"
+)
 
 // State says how an instance stands in the view of another.
 type State uint8
@@ -28,4 +31,6 @@
 	State       State
 	Listed      bool // Listed is set when the believed platform list has the instance.
 	Self        bool
+	Ready       bool      // Ready is its own word in heartbeats; false when this instance is not its neighbour.
+	Avoid       time.Time // Not used as home before this time, after a failed dial.
 }
--- /dev/null
+++ b/internal/fleet/registrar/registrar.go
@@ -0,0 +1,252 @@
+package registrar
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"sardinelever.example/sardinelever/internal/fleet/linker"
+	"sardinelever.example/sardinelever/internal/fleet/messenger"
+	"sardinelever.example/sardinelever/internal/operator/auditor"
+	"sardinelever.example/sardinelever/internal/platform/reader"
+)
+
+// Links are the sessions to other instances; *linker.Linker implements them.
+type Links interface {
+	Open(ctx context.Context, peer netip.AddrPort, k linker.Kind) (net.Conn, error)
+	Redial(ctx context.Context, peer netip.AddrPort) (linker.Hello, error)
+}
+
+// Receiver takes control messages from other instances, heartbeats included,
+// and ignores kinds that are not its own. Reply sends an answer on the stream
+// of the message.
+type Receiver interface {
+	Receive(from linker.Hello, m *messenger.Control, reply func(*messenger.Control) error)
+}
+
+// Registrar keeps the membership of the fleet. It handles the linker's streams
+// of kind Control. Its fields are set before any method is called.
+type Registrar struct {
+	Name        string
+	Incarnation uint64 // Start of this process, nanoseconds since 1970.
+	Zone        string
+	Region      string
+	Peer        netip.AddrPort // Own listener for other instances.
+	Links       Links
+	Audit       *auditor.Auditor
+	Receivers   []Receiver
+	OnChange    []func()                  // Called after a change of the members; must not block.
+	OnPause     []func(gap time.Duration) // Called when this process resumes after a pause; must not block.
+
+	Limits  Limits
+	Period  time.Duration    // Of heartbeats; 0 means 1s.
+	Step    time.Duration    // Of the ticker that notices pauses; 0 means 100ms.
+	Gap     time.Duration    // A step longer than this is a pause; 0 means 1s.
+	Recheck time.Duration    // Mean time between dials of one random silent member; 0 means 5s.
+	Hold    time.Duration    // Time for which a suddenly short list must persist; 0 means 60s.
+	Clock   func() time.Time // nil means time.Now.
+
+	once sync.Once
+	kick chan struct{}
+
+	mu       sync.Mutex
+	table    Table
+	guard    Guard
+	listTime time.Time // Of the accepted list, by the platform's clock.
+	older    time.Time // Since when lists are older than that.
+	sequence uint64
+	version  *messenger.Version
+	ready    bool
+	leaving  bool
+	shown    uint64 // table.changes of the last snapshot.
+	checks   map[string]bool
+	senders  map[string]*sender
+	tasks    sync.WaitGroup
+
+	members atomic.Pointer[[]Member]
+	roster  atomic.Pointer[Roster]
+}
+
+func (r *Registrar) init() {
+	setDefault(&r.Period, time.Second)
+	setDefault(&r.Step, 100*time.Millisecond)
+	setDefault(&r.Gap, time.Second)
+	setDefault(&r.Recheck, 5*time.Second)
+	if r.Clock == nil {
+		r.Clock = time.Now
+	}
+	r.kick = make(chan struct{}, 1)
+	r.checks = make(map[string]bool)
+	r.senders = make(map[string]*sender)
+	r.guard.Delay = r.Hold
+	r.table.Limits = r.Limits
+	r.table.Note = r.Audit.Note
+	r.table.Self = Member{Name: r.Name, Zone: r.Zone, Region: r.Region, Peer: r.Peer, Incarnation: r.Incarnation}
+	r.roster.Store(new(Roster))
+	r.snapshot(r.Clock())
+}
+
+// update runs f on the table and publishes the result.
+func (r *Registrar) update(f func(t *Table, now time.Time)) {
+	r.once.Do(r.init)
+	r.mu.Lock()
+	now := r.Clock()
+	f(&r.table, now)
+	changed := r.table.changes != r.shown
+	if changed {
+		r.snapshot(now)
+	}
+	r.mu.Unlock()
+	if changed {
+		for _, f := range r.OnChange {
+			f()
+		}
+	}
+}
+
+// snapshot publishes the members. The caller holds r.mu.
+func (r *Registrar) snapshot(now time.Time) {
+	m := r.table.Members(now)
+	r.members.Store(&m)
+	r.shown = r.table.changes
+}
+
+// Members returns everything known, sorted by name. The caller must not change
+// it.
+func (r *Registrar) Members() []Member {
+	r.once.Do(r.init)
+	return *r.members.Load()
+}
+
+// Believed returns the believed list.
+func (r *Registrar) Believed() Roster {
+	r.once.Do(r.init)
+	return *r.roster.Load()
+}
+
+// Usable returns the members of a zone that may act as home, this instance
+// included, sorted by name. If the zone has none or is empty, it returns those
+// of the whole region.
+func (r *Registrar) Usable(zone, region string) []Member {
+	all := r.Members()
+	now := r.Clock()
+	var near, far []Member
+	for _, m := range all {
+		switch {
+		case m.State != Alive || now.Before(m.Avoid) || m.Region != region:
+		case m.Zone == zone:
+			near = append(near, m)
+		default:
+			far = append(far, m)
+		}
+	}
+	if len(near) > 0 {
+		return near
+	}
+	return far
+}
+
+// Failed reports that a dial or a session to the member named name failed. It is
+// not used as home for Limits.Avoid.
+func (r *Registrar) Failed(name string) {
+	for _, m := range r.Members() {
+		if m.Name == name {
+			r.Lost(m.Peer, nil)
+		}
+	}
+}
+
+// Lost is Failed for the instance at an address; it fits linker.Linker.Lost.
+func (r *Registrar) Lost(peer netip.AddrPort, _ error) {
+	r.update(func(t *Table, now time.Time) { t.Fail(now, peer) })
+}
+
+// SetReady sets whether heartbeats say that this instance is ready.
+func (r *Registrar) SetReady(ready bool) { r.announce(func() { r.ready = ready }) }
+
+// Leave makes heartbeats say that this instance is leaving.
+func (r *Registrar) Leave() { r.announce(func() { r.leaving = true }) }
+
+// SetVersion sets the configuration version that heartbeats carry.
+func (r *Registrar) SetVersion(v *messenger.Version) {
+	r.once.Do(r.init)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.version = v
+}
+
+// announce changes what heartbeats say and sends one at once.
+func (r *Registrar) announce(f func()) {
+	r.update(func(t *Table, now time.Time) {
+		f()
+		t.Announce(now, r.ready, r.leaving)
+	})
+	select {
+	case r.kick <- struct{}{}:
+	default:
+	}
+}
+
+// SetList takes a list that was read from the platform at readTime.
+//
+// An empty list, a suddenly short one and one that is older than the accepted
+// list count as failed reads until they persist for Hold: they change neither
+// the members nor the believed list and its read time.
+func (r *Registrar) SetList(list *reader.List, readTime time.Time) {
+	var members []Member
+	var names, present []string
+	for _, e := range list.Entries {
+		if e.Service != "" || slices.Contains(names, e.Name) {
+			continue
+		}
+		m := Member{Name: e.Name, Zone: e.Zone, Region: e.Region, Peer: e.Peer}
+		if e.Leaving {
+			m.State = Leaving
+		} else {
+			present = append(present, e.Name)
+		}
+		names = append(names, e.Name)
+		members = append(members, m)
+	}
+	slices.Sort(present)
+	r.update(func(t *Table, now time.Time) {
+		if !r.accept(now, list.Time, names) {
+			return
+		}
+		next := r.roster.Load().next(readTime, present)
+		r.roster.Store(&next)
+		t.Apply(now, members)
+	})
+}
+
+// accept decides about a list and audits the first refusal. The caller holds
+// r.mu.
+func (r *Registrar) accept(now, listTime time.Time, names []string) bool {
+	if listTime.Before(r.listTime) {
+		if r.older.IsZero() {
+			r.older = now
+			r.noteList(now, "older than the list in use", "held")
+		}
+		if now.Sub(r.older) < r.guard.delay() {
+			return false
+		}
+	}
+	switch r.guard.Judge(now, names, r.table.Silent) {
+	case HoldNew:
+		r.noteList(now, "lost more than half of the entry instances", "held")
+		return false
+	case Hold:
+		return false
+	case Accept:
+	}
+	r.listTime, r.older = listTime, time.Time{}
+	return len(names) > 0 || !r.roster.Load().Read.IsZero()
+}
+
+func (r *Registrar) noteList(now time.Time, cause, after string) {
+	r.Audit.Note(auditor.Change{Time: now, Part: "fleet", Subject: "list", Cause: cause, Before: "in use", After: after})
+}
--- /dev/null
+++ b/internal/fleet/registrar/table.go
@@ -0,0 +1,318 @@
+package registrar
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"sardinelever.example/sardinelever/internal/fleet/linker"
+	"sardinelever.example/sardinelever/internal/fleet/messenger"
+	"sardinelever.example/sardinelever/internal/operator/auditor"
+)
+
+// Limits are the times of the membership rules. Zero fields mean the defaults.
+type Limits struct {
+	Silence time.Duration // Without heartbeats before a neighbour is dialed; 0 means 3s.
+	Gone    time.Duration // Of silence before a suspect is shown as gone; 0 means 30s.
+	Linger  time.Duration // For which an unlisted member is kept after it was last heard; 0 means 60s.
+	Avoid   time.Duration // For which a member is not a home after a failed dial; 0 means 1s.
+}
+
+// Table is the membership as one instance sees it. It has no clock and no
+// goroutines: each method takes the current time and must not run concurrently
+// with another. Self, Limits and Note are set before first use.
+type Table struct {
+	Self   Member
+	Limits Limits
+	Note   func(auditor.Change) // Called for each change of a member; may be nil.
+
+	entries map[string]*entry
+	news    []*news
+	changes uint64 // Number of visible changes.
+}
+
+// entry is what the table knows of a member.
+type entry struct {
+	Member
+	sequence      uint64    // Highest known heartbeat of the incarnation.
+	heard         time.Time // Last sign of life, direct or by gossip.
+	direct        time.Time // Last heartbeat that came directly.
+	watched       time.Time // Since when a direct heartbeat is due; zero when not a neighbour.
+	silent        bool
+	since         time.Time // Start of the silence.
+	refuted       time.Time // Last time gossip refuted the silence.
+	returned      bool      // The next heartbeat is news.
+	leaving       bool      // By its own word.
+	listedLeaving bool      // By the list.
+	gone          bool      // Shown as gone.
+}
+
+func (t *Table) init() {
+	if t.entries != nil {
+		return
+	}
+	setDefault(&t.Limits.Silence, 3*time.Second)
+	setDefault(&t.Limits.Gone, 30*time.Second)
+	setDefault(&t.Limits.Linger, time.Minute)
+	setDefault(&t.Limits.Avoid, time.Second)
+	t.Self.Self = true
+	t.entries = map[string]*entry{t.Self.Name: {Member: t.Self}}
+}
+
+func setDefault(d *time.Duration, v time.Duration) {
+	if *d == 0 {
+		*d = v
+	}
+}
+
+func (t *Table) note(now time.Time, e *entry, cause, before, after string) {
+	t.changes++
+	if t.Note != nil {
+		t.Note(auditor.Change{Time: now, Part: "fleet", Subject: "instance " + e.Name, Cause: cause, Before: before, After: after})
+	}
+}
+
+func (e *entry) state(now time.Time, l Limits) State {
+	switch {
+	case e.silent && now.Sub(e.since) >= l.Gone:
+		return Gone
+	case e.silent:
+		return Suspect
+	case e.leaving || e.listedLeaving:
+		return Leaving
+	}
+	return Alive
+}
+
+// Members returns all known members, sorted by name.
+func (t *Table) Members(now time.Time) []Member {
+	t.init()
+	out := make([]Member, 0, len(t.entries))
+	for _, e := range t.entries {
+		m := e.Member
+		m.State = e.state(now, t.Limits)
+		out = append(out, m)
+	}
+	slices.SortFunc(out, func(a, b Member) int { return cmp.Compare(a.Name, b.Name) })
+	return out
+}
+
+// Apply takes the entry instances of an accepted list; those that the list shows
+// as leaving have the state Leaving.
+func (t *Table) Apply(now time.Time, list []Member) {
+	t.init()
+	seen := make(map[string]bool, len(list))
+	for _, l := range list {
+		seen[l.Name] = true
+		t.applyOne(now, l)
+	}
+	for _, e := range t.entries {
+		switch {
+		case seen[e.Name] || !e.Listed:
+		case e.Self:
+			e.Listed, e.listedLeaving = false, false
+			t.note(now, e, "list", "listed", "not listed")
+		case e.silent || e.leaving || e.listedLeaving:
+			delete(t.entries, e.Name)
+			t.note(now, e, "list", e.state(now, t.Limits).String(), "left")
+		default:
+			e.Listed = false
+			e.heard = now // Of most members nothing is heard directly.
+			t.note(now, e, "list", "listed", "not listed")
+		}
+	}
+}
+
+func (t *Table) applyOne(now time.Time, l Member) {
+	e := t.entries[l.Name]
+	if e == nil {
+		e = &entry{Member: Member{Name: l.Name}, heard: now}
+		t.entries[l.Name] = e
+		t.note(now, e, "list", "unknown", "joined")
+	}
+	if !e.Self {
+		if e.Peer != l.Peer || e.Zone != l.Zone || e.Region != l.Region {
+			t.changes++
+		}
+		e.Peer, e.Zone, e.Region = l.Peer, l.Zone, l.Region
+	}
+	if !e.Listed {
+		e.Listed = true
+		t.changes++
+	}
+	if leaving := l.State == Leaving; leaving != e.listedLeaving {
+		before := e.state(now, t.Limits)
+		e.listedLeaving = leaving
+		t.note(now, e, "list", before.String(), e.state(now, t.Limits).String())
+	}
+}
+
+// Hear takes a heartbeat that came directly from the instance that said from.
+func (t *Table) Hear(now time.Time, from linker.Hello, h *messenger.Heartbeat) {
+	t.init()
+	e := t.entries[h.GetName()]
+	if h.GetName() != from.Name || e != nil && (e.Self || h.GetIncarnation() < e.Incarnation) {
+		return
+	}
+	if e == nil {
+		if !from.Peer.IsValid() {
+			return // Nobody could reach it.
+		}
+		e = &entry{Member: Member{
+			Name: from.Name, Zone: from.Zone, Region: from.Region, Peer: from.Peer, Incarnation: h.GetIncarnation(),
+		}}
+		t.entries[e.Name] = e
+		t.note(now, e, "heard, not listed", "unknown", "joined")
+		t.tell(now, e)
+	}
+	if h.GetIncarnation() > e.Incarnation {
+		t.renew(now, e, h.GetIncarnation(), "heartbeat")
+	}
+	t.supersede(now, e)
+	later := h.GetSequence() > e.sequence
+	if !later && e.silent {
+		return // Sent before the silence.
+	}
+	e.sequence = max(e.sequence, h.GetSequence())
+	e.heard, e.direct = now, now
+	if e.Ready != h.GetReady() {
+		e.Ready = h.GetReady()
+		t.changes++
+	}
+	if e.silent {
+		t.revive(now, e, "heartbeat")
+	} else if e.returned && later {
+		t.tell(now, e)
+	}
+	e.returned = e.returned && !later
+	if h.GetLeaving() {
+		t.leave(now, e, "heartbeat")
+	}
+	for _, g := range h.GetGossip() {
+		t.Merge(now, g)
+	}
+}
+
+// renew drops what is known of an earlier process of e.
+func (t *Table) renew(now time.Time, e *entry, incarnation uint64, cause string) {
+	known := e.Incarnation != 0
+	e.Incarnation, e.sequence, e.leaving, e.Avoid = incarnation, 0, false, time.Time{}
+	e.heard = now
+	switch {
+	case known:
+		e.silent = false
+		t.note(now, e, cause, "earlier process", "replaced")
+		t.tell(now, e)
+	case e.silent:
+		t.revive(now, e, cause)
+	default:
+		t.changes++
+	}
+}
+
+// supersede drops members at the address of e whose process is older: an address
+// serves one process at a time.
+func (t *Table) supersede(now time.Time, e *entry) {
+	for _, o := range t.entries {
+		if o == e || o.Self || o.Peer != e.Peer || o.Incarnation >= e.Incarnation {
+			continue
+		}
+		t.drop(now, o, "address taken by instance "+e.Name)
+	}
+}
+
+// drop shows a listed member as gone and forgets an unlisted one.
+func (t *Table) drop(now time.Time, e *entry, cause string) {
+	if !e.Listed {
+		delete(t.entries, e.Name)
+		t.note(now, e, cause, e.state(now, t.Limits).String(), "left")
+		return
+	}
+	if before := e.state(now, t.Limits); before != Gone {
+		e.silent, e.gone, e.since = true, true, now.Add(-t.Limits.Gone)
+		t.note(now, e, cause, before.String(), Gone.String())
+		t.tell(now, e)
+	}
+}
+
+func (t *Table) suspect(now time.Time, e *entry, since time.Time, cause string) {
+	before := e.state(now, t.Limits)
+	e.silent, e.gone, e.since = true, false, since
+	t.note(now, e, cause, before.String(), e.state(now, t.Limits).String())
+	t.tell(now, e)
+}
+
+func (t *Table) revive(now time.Time, e *entry, cause string) {
+	before := e.state(now, t.Limits)
+	e.silent = false
+	if !e.watched.IsZero() {
+		e.watched = now
+	}
+	t.note(now, e, cause, before.String(), e.state(now, t.Limits).String())
+	t.tell(now, e)
+}
+
+// leave takes the word of a process that it leaves; it holds for the rest of the
+// process.
+func (t *Table) leave(now time.Time, e *entry, cause string) {
+	if e.leaving {
+		return
+	}
+	before := e.state(now, t.Limits)
+	e.leaving = true
+	t.note(now, e, cause, before.String(), e.state(now, t.Limits).String())
+	t.tell(now, e)
+}
+
+// Tick shows suspects as gone after Limits.Gone, and forgets unlisted members
+// that were not heard for Limits.Linger.
+func (t *Table) Tick(now time.Time) {
+	t.init()
+	for _, e := range t.entries {
+		if e.silent && !e.gone && e.state(now, t.Limits) == Gone {
+			e.gone = true
+			t.note(now, e, "silent", Suspect.String(), Gone.String())
+		}
+		if !e.Listed && !e.Self && now.Sub(e.heard) >= t.Limits.Linger {
+			delete(t.entries, e.Name)
+			t.note(now, e, "not listed, not heard", e.state(now, t.Limits).String(), "left")
+		}
+	}
+}
+
+// Resume starts all waits anew after a pause of this process, in which nothing
+// could be heard, and drops gossip from before it.
+func (t *Table) Resume(now time.Time) {
+	t.init()
+	t.news = nil
+	for _, e := range t.entries {
+		e.Avoid = time.Time{}
+		if !e.silent {
+			e.heard = now
+		}
+		if !e.watched.IsZero() {
+			e.watched = now
+		}
+	}
+	t.changes++
+}
+
+// Announce sets what the own heartbeats say; leaving holds once set.
+func (t *Table) Announce(now time.Time, ready, leaving bool) {
+	t.init()
+	e := t.entries[t.Self.Name]
+	if e.Ready != ready {
+		e.Ready = ready
+		t.changes++
+	}
+	if leaving {
+		t.leave(now, e, "shutdown")
+	}
+}
+
+// Silent reports whether the member is silent or unknown.
+func (t *Table) Silent(name string) bool {
+	t.init()
+	e := t.entries[name]
+	return e == nil || e.silent && !e.Self
+}
--- /dev/null
+++ b/internal/fleet/registrar/watch.go
@@ -0,0 +1,98 @@
+package registrar
+
+import (
+	"net/netip"
+	"slices"
+	"time"
+
+	"sardinelever.example/sardinelever/internal/fleet/linker"
+)
+
+// Watch sets the members from which heartbeats are due.
+func (t *Table) Watch(now time.Time, neighbours []Member) {
+	t.init()
+	for _, e := range t.entries {
+		is := slices.ContainsFunc(neighbours, func(m Member) bool { return m.Name == e.Name })
+		switch {
+		case !is:
+			e.watched = time.Time{}
+		case e.watched.IsZero():
+			e.watched = now
+		}
+	}
+}
+
+// Due returns the neighbours whose heartbeats are missing, to be dialed.
+func (t *Table) Due(now time.Time) []Member {
+	var out []Member
+	for _, e := range t.entries {
+		last := e.watched
+		if e.direct.After(last) {
+			last = e.direct
+		}
+		if !e.watched.IsZero() && !e.silent && now.Sub(last) > t.Limits.Silence {
+			out = append(out, e.Member)
+		}
+	}
+	return out
+}
+
+// Dialed takes the result of dialing a member: the Hello of the instance that
+// answered, or an error.
+func (t *Table) Dialed(now time.Time, m Member, from linker.Hello, err error) {
+	e := t.entries[m.Name]
+	if e == nil || e.Peer != m.Peer {
+		return
+	}
+	switch {
+	case err != nil:
+		t.unreached(now, e)
+	case from.Name != e.Name:
+		t.drop(now, e, "address taken by instance "+from.Name)
+	case from.Incarnation < e.Incarnation:
+	default:
+		if from.Incarnation > e.Incarnation {
+			t.renew(now, e, from.Incarnation, "dial")
+		}
+		e.heard = now
+		e.returned = true
+		if !e.watched.IsZero() {
+			e.watched = now
+		}
+		if e.silent {
+			t.revive(now, e, "dial")
+		}
+	}
+}
+
+func (t *Table) unreached(now time.Time, e *entry) {
+	t.Fail(now, e.Peer)
+	switch {
+	case e.silent:
+	case now.Sub(e.refuted) < t.Limits.Gone:
+		// Others hear it: only this instance does not reach it, and repeated
+		// suspicion would flap in the whole fleet.
+		e.Avoid = now.Add(t.Limits.Silence + t.Limits.Avoid)
+		if !e.watched.IsZero() {
+			e.watched = now
+		}
+		t.changes++
+	default:
+		since := e.watched
+		if e.heard.After(since) {
+			since = e.heard
+		}
+		t.suspect(now, e, since, "no heartbeat, dial failed")
+	}
+}
+
+// Fail keeps the member at peer from being used as home for Limits.Avoid.
+func (t *Table) Fail(now time.Time, peer netip.AddrPort) {
+	t.init()
+	for _, e := range t.entries {
+		if until := now.Add(t.Limits.Avoid); e.Peer == peer && !e.Self && until.After(e.Avoid) {
+			e.Avoid = until
+			t.changes++
+		}
+	}
+}
