Spread the configuration between instances

Cause: an instance got a new bundle only by reading the platform itself. Change: spreader.Spreader announces the version in force with heartbeats and at once on change. An instance that is behind pulls the manifest from one announcer and then the sections that it lacks, checks the sum and offers the text to the keeper. There is one pull at a time per instance, a random choice among equal announcers, backoff after a failure and at most 4 answers at once. A refused version is not pulled again. AskPeers fetches for a new instance.

--- a/internal/fleet/registrar/fleet_test.go
+++ b/internal/fleet/registrar/fleet_test.go
@@ -14,6 +14,7 @@
 	"github.com/rs/zerolog"
 
 	"sardinelever.example/sardinelever/internal/fleet/linker"
+	"sardinelever.example/sardinelever/internal/fleet/messenger"
 	"sardinelever.example/sardinelever/internal/fleet/registrar"
 	"sardinelever.example/sardinelever/internal/operator/auditor"
 	"sardinelever.example/sardinelever/internal/platform/reader"
@@ -196,7 +197,13 @@
 	const window = 10 * time.Second
 	for _, n := range []int{4, 8, 16, 32} {
 		b.Run(fmt.Sprint(n), func(b *testing.B) {
-			all := fleet(b, n, 0)
+			all := make([]*instance, n)
+			for i := range all {
+				inc := uint64(time.Now().UnixNano())
+				all[i] = launch(b, fmt.Sprintf("entry-%02d.zone-%c.home", i, 'a'+i%3), inc, anyPort, 0)
+				all[i].SetVersion(&messenger.Version{Number: 20261204, Sum: inc})
+			}
+			share(all, nil)
 			sum := func() (wire, control uint64) {
 				for _, x := range all {
 					c := x.linker.Counts()
--- /dev/null
+++ b/internal/fleet/spreader/pull.go
@@ -0,0 +1,243 @@
+package spreader
+
+import (
+	"bufio"
+	"context"
+	"math/rand/v2"
+	"net/netip"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/phuslu/log"
+	"github.com/pkg/errors"
+
+	"sardinelever.example/sardinelever/internal/fleet/linker"
+	"sardinelever.example/sardinelever/internal/fleet/messenger"
+	"sardinelever.example/sardinelever/internal/fleet/registrar"
+	"sardinelever.example/sardinelever/internal/operator/auditor"
+)
+
+// Receive takes a control message from another instance: announcements, alone
+// or in a heartbeat, and pulls, which it answers.
+func (s *Spreader) Receive(from linker.Hello, m *messenger.Control, reply func(*messenger.Control) error) {
+	s.once.Do(s.init)
+	switch {
+	case m.GetVersion() != nil:
+		s.hear(from, parseVersion(m.GetVersion()))
+	case m.GetHeartbeat().GetVersion() != nil:
+		s.hear(from, parseVersion(m.GetHeartbeat().GetVersion()))
+	case m.GetPull() != nil:
+		s.answer(m.GetPull(), reply)
+	}
+}
+
+func (s *Spreader) hear(from linker.Hello, v Version) {
+	s.heard.Store(time.Now().UnixNano())
+	own, _ := s.Current()
+	if v.Compare(own) <= 0 || !from.Peer.IsValid() {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	o := s.offers[from.Peer]
+	if o != nil && o.version.Compare(v) >= 0 || s.refused[v] || o == nil && len(s.offers) >= maxOffers {
+		return
+	}
+	s.offers[from.Peer] = &offer{peer: from.Peer, name: from.Name, version: v}
+	select {
+	case s.wake <- struct{}{}:
+	default:
+	}
+}
+
+// answer sends the manifest, or the sections that a pull names. Sections without
+// texts mean that this instance is busy or does not have the version.
+func (s *Spreader) answer(p *messenger.Pull, reply func(*messenger.Control) error) {
+	out := &messenger.Control{Kind: &messenger.Control_Sections{Sections: new(messenger.Sections)}}
+	select {
+	case s.serving <- struct{}{}:
+		out = s.content(p)
+		defer func() { <-s.serving }()
+	default:
+	}
+	if err := reply(out); err != nil {
+		log.Debug().Err(err).Msg("fleet: answer to a pull failed")
+	}
+}
+
+func (s *Spreader) content(p *messenger.Pull) *messenger.Control {
+	v, sections := s.Current()
+	sums := s.Sections.Sums(sections)
+	if len(p.GetSums()) == 0 {
+		m := &messenger.Manifest{Version: v.message(), Sums: sums}
+		return &messenger.Control{Kind: &messenger.Control_Manifest{Manifest: m}}
+	}
+	wanted := make(map[uint64]bool, len(p.GetSums()))
+	for _, sum := range p.GetSums() {
+		wanted[sum] = true
+	}
+	out := &messenger.Sections{Version: v.message()}
+	for i, sum := range sums {
+		if wanted[sum] {
+			out.Texts = append(out.Texts, sections[i])
+			delete(wanted, sum)
+		}
+	}
+	return &messenger.Control{Kind: &messenger.Control_Sections{Sections: out}}
+}
+
+// pull brings the bundle of a peer into force if it is higher than the own one.
+func (s *Spreader) pull(ctx context.Context, peer netip.AddrPort, name string) error {
+	select {
+	case s.pulling <- struct{}{}:
+		defer func() { <-s.pulling }()
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	s.pulls.Add(1)
+	v, text, err := s.fetch(ctx, peer)
+	if err != nil {
+		s.failed.Add(1)
+		if errors.Is(err, ErrSum) {
+			s.Audit.Note(auditor.Change{
+				Part: "config", Subject: "version", Cause: err.Error() + " from instance " + name, Before: "pulled", After: "dropped",
+			})
+		}
+		return errors.WithMessagef(err, "pull from instance %q", name)
+	}
+	if text == nil {
+		return nil
+	}
+	changed, err := s.Keeper.Offer(text, "instance "+name)
+	if err != nil { // The keeper audits the reason.
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		if len(s.refused) >= maxRefused {
+			clear(s.refused)
+		}
+		s.refused[v] = true
+		return nil
+	}
+	if changed {
+		s.Announce()
+	}
+	return nil
+}
+
+// fetch returns the version and text of the bundle of a peer, no text if the
+// version is not higher than the own one or was refused.
+func (s *Spreader) fetch(ctx context.Context, peer netip.AddrPort) (Version, []byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, s.Timeout)
+	defer cancel()
+	conn, err := s.Links.Open(ctx, peer, linker.Control)
+	if err != nil {
+		return Version{}, nil, err
+	}
+	defer func() { _ = conn.Close() }()
+	end, _ := ctx.Deadline()
+	_ = conn.SetDeadline(end)
+	stop := context.AfterFunc(ctx, func() { _ = conn.SetDeadline(time.Now()) })
+	defer stop()
+	in := bufio.NewReader(conn)
+	ask := func(p *messenger.Pull) (*messenger.Control, error) {
+		if err := messenger.Write(conn, &messenger.Control{Kind: &messenger.Control_Pull{Pull: p}}); err != nil {
+			return nil, err
+		}
+		c := new(messenger.Control)
+		return c, messenger.Read(in, c)
+	}
+	c, err := ask(new(messenger.Pull))
+	if err != nil {
+		return Version{}, nil, err
+	}
+	m := c.GetManifest()
+	v := parseVersion(m.GetVersion())
+	switch {
+	case m == nil:
+		return v, nil, ErrBusy
+	case v == Version{}:
+		return v, nil, ErrEmpty
+	}
+	own, have := s.Current()
+	if v.Compare(own) <= 0 || s.isRefused(v) {
+		return v, nil, nil
+	}
+	var received [][]byte
+	if missing := s.Sections.Missing(m.GetSums(), have); len(missing) > 0 {
+		if c, err = ask(&messenger.Pull{Version: v.message(), Sums: missing}); err != nil {
+			return v, nil, err
+		}
+		if received = c.GetSections().GetTexts(); len(received) == 0 {
+			return v, nil, ErrBusy
+		}
+	}
+	text, err := s.assemble(v, m.GetSums(), have, received)
+	return v, text, err
+}
+
+func (s *Spreader) assemble(v Version, sums []uint64, have, received [][]byte) ([]byte, error) {
+	for _, t := range received {
+		s.sections.Add(1)
+		s.bytes.Add(uint64(len(t)))
+	}
+	text, err := s.Sections.Assemble(sums, have, received)
+	if err != nil {
+		return nil, err
+	}
+	if sum := xxhash.Sum64(text); sum != v.Sum {
+		return nil, errors.Wrapf(ErrSum, "version %d: got sum %016x, want %016x", v.Number, sum, v.Sum)
+	}
+	return text, nil
+}
+
+func (s *Spreader) isRefused(v Version) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.refused[v]
+}
+
+// maxAsked is the number of peers whose answers a new instance takes.
+const maxAsked = 3
+
+// AskPeers asks up to 3 random members for their bundles and returns how many
+// answered. It returns when they answered, or all members did, or after wait.
+// A member without a bundle counts as an answer. Without other members it
+// returns at once, so the platform's list has to be read before.
+func (s *Spreader) AskPeers(ctx context.Context, wait time.Duration) int {
+	s.once.Do(s.init)
+	ctx, cancel := context.WithTimeout(ctx, wait)
+	defer cancel()
+	answered := make(map[string]bool)
+	for {
+		todo := s.unasked(answered)
+		if len(todo) == 0 || len(answered) >= maxAsked {
+			return len(answered)
+		}
+		for _, m := range todo {
+			err := s.pull(ctx, m.Peer, m.Name)
+			if err == nil || errors.Is(err, ErrEmpty) {
+				answered[m.Name] = true
+			}
+			if len(answered) >= maxAsked {
+				break
+			}
+		}
+		select {
+		case <-ctx.Done():
+			return len(answered)
+		case <-time.After(s.Backoff/2 + rand.N(s.Backoff)):
+		}
+	}
+}
+
+// unasked returns the members that can still be asked, in random order.
+func (s *Spreader) unasked(answered map[string]bool) []registrar.Member {
+	var out []registrar.Member
+	for _, m := range s.Fleet.Members() {
+		if !m.Self && m.State != registrar.Gone && !answered[m.Name] {
+			out = append(out, m)
+		}
+	}
+	rand.Shuffle(len(out), func(i, j int) { out[i], out[j] = out[j], out[i] })
+	return out
+}
