Send a call on a connection of its own pool

Cause: http.Transport resends a call with Idempotency-Key or a GET when a reused connection breaks, and reuses a connection although bytes beyond the answer may follow. Hop-by-hop headers named by Connection, 1xx answers and request trailers did not pass correctly.

Change: sender keeps its own connections (http.ClientConn), one exchange at a time, at most connections / instances per backend server. A connection is used again only when the HTTP reader waits for new bytes after a complete exchange.

Conclusion: no resend is possible, and surplus answer bytes close the connection.

--- a/internal/call/classifier/call.go
+++ b/internal/call/classifier/call.go
@@ -15,6 +15,7 @@
 	Deadline   time.Time
 	Depth      int    // Levels of calls above this one.
 	Budget     int    // Retries that this call and all calls below it may still use.
+	Attempt    int    // The caller's number of this attempt, from 1.
 	Identity   string // Empty when the caller gave none.
 	Path       string // Path at the backend server.
 }
--- a/internal/call/classifier/classifier.go
+++ b/internal/call/classifier/classifier.go
@@ -17,6 +17,14 @@
 // MaxDepth is the deepest call that is accepted: the deepest known is 27.
 const MaxDepth = 32
 
+// Limits of what a caller may send.
+const (
+	maxHeaders  = 64 << 10 // Bytes of all header names and values.
+	maxIdentity = 255      // Bytes.
+	maxAttempt  = 1000
+	maxDeadline = 24 * time.Hour
+)
+
 const defaultDeadline = 10 * time.Second
 
 // Sentinels of calls that cannot be classified.
@@ -31,10 +39,7 @@
 	if s == nil {
 		return nil, errors.Wrapf(ErrService, "%s %s", r.Host, r.URL.Path)
 	}
-	c := &Call{Service: s, Path: path, Identity: r.Header.Get("Sardine-Id")}
-	if c.Identity == "" {
-		c.Identity = r.Header.Get("Idempotency-Key")
-	}
+	c := &Call{Service: s, Path: path}
 	deadline := c.route(r)
 	if err := c.headers(r, now, deadline); err != nil {
 		return nil, err
@@ -79,6 +84,9 @@
 }
 
 func (c *Call) headers(r *http.Request, now time.Time, deadline time.Duration) error {
+	if n := size(r.Header); n > maxHeaders {
+		return errors.Wrapf(ErrHeader, "headers have %d bytes, more than %d", n, maxHeaders)
+	}
 	if v := r.Header.Get("Sardine-Rank"); v != "" {
 		var rank parser.Rank
 		if err := rank.UnmarshalText([]byte(v)); err != nil {
@@ -86,7 +94,7 @@
 		}
 		c.Rank = max(c.Rank, rank)
 	}
-	left, err := number(r, "Sardine-Deadline", int(deadline.Milliseconds()), 24*60*60*1000)
+	left, err := number(r, "Sardine-Deadline", int(deadline.Milliseconds()), int(maxDeadline.Milliseconds()))
 	if err != nil {
 		return err
 	}
@@ -94,8 +102,37 @@
 	if c.Depth, err = number(r, "Sardine-Depth", 0, MaxDepth); err != nil {
 		return err
 	}
-	c.Budget, err = number(r, "Sardine-Budget", 1, MaxDepth)
-	return err
+	if c.Attempt, err = number(r, "Sardine-Attempt", 1, maxAttempt); err != nil {
+		return err
+	}
+	if c.Budget, err = number(r, "Sardine-Budget", 1, MaxDepth); err != nil {
+		return err
+	}
+	return c.identity(r)
+}
+
+func (c *Call) identity(r *http.Request) error {
+	name := "Sardine-Id"
+	if r.Header.Get(name) == "" {
+		name = "Idempotency-Key"
+	}
+	c.Identity = r.Header.Get(name)
+	if len(c.Identity) > maxIdentity {
+		return errors.Wrapf(ErrHeader, "%s has %d bytes, more than %d", name, len(c.Identity), maxIdentity)
+	}
+	if len(r.Header.Values(name)) > 1 {
+		return errors.Wrapf(ErrHeader, "%s occurs more than once", name)
+	}
+	return nil
+}
+
+func size(h http.Header) (n int) {
+	for name, values := range h {
+		for _, v := range values {
+			n += len(name) + len(v)
+		}
+	}
+	return n
 }
 
 // number reads a header with a value from 0 to limit, or returns preset when there is none.
--- /dev/null
+++ b/internal/call/classifier/classifier_test.go
@@ -0,0 +1,81 @@
+package classifier_test
+
+import (
+	"bufio"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"sardinelever.example/sardinelever/internal/call/classifier"
+	"sardinelever.example/sardinelever/internal/config/parser"
+	"sardinelever.example/sardinelever/internal/route/mapper"
+)
+
+func services() *mapper.Map {
+	return mapper.Join(&parser.Bundle{Version: 1, Services: []parser.Service{{
+		Name: "guidance", Slots: 2, Deadline: parser.Duration(2 * time.Second),
+		Routes: []parser.Route{{Path: "/lookup", Rank: parser.Urgent, Idempotent: true}},
+	}}}, nil)
+}
+
+func parse(head string) (*http.Request, error) {
+	return http.ReadRequest(bufio.NewReader(strings.NewReader("GET /guidance/lookup HTTP/1.1\r\nHost: x\r\n" + head + "\r\n\r\n")))
+}
+
+// TestRefuse guards against a call with a bad header that is sent on with a
+// guess, and against a good header that is refused.
+func TestRefuse(t *testing.T) {
+	tests := []struct{ name, head, want string }{
+		{"none", "", ""},
+		{"all", "Sardine-Rank: patient\r\nSardine-Deadline: 5\r\nSardine-Depth: 32\r\nSardine-Budget: 0\r\nSardine-Attempt: 2", ""},
+		{"rank", "Sardine-Rank: first", "Sardine-Rank"},
+		{"deadline", "Sardine-Deadline: soon", "Sardine-Deadline"},
+		{"negative", "Sardine-Deadline: -1", "Sardine-Deadline"},
+		{"overflow", "Sardine-Deadline: 99999999999999999999", "Sardine-Deadline"},
+		{"depth", "Sardine-Depth: 33", "Sardine-Depth"},
+		{"budget", "Sardine-Budget: x", "Sardine-Budget"},
+		{"identity", "Sardine-Id: " + strings.Repeat("a", 256), "Sardine-Id"},
+		{"identities", "Idempotency-Key: a\r\nIdempotency-Key: b", "Idempotency-Key"},
+		{"size", "X-Large: " + strings.Repeat("a", 64<<10), "headers"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			r, err := parse(tt.head)
+			if err != nil {
+				t.Fatal(err)
+			}
+			_, err = classifier.Classify(services(), r, time.Now())
+			if tt.want == "" && err != nil || tt.want != "" && (!errors.Is(err, classifier.ErrHeader) || !strings.Contains(err.Error(), tt.want)) {
+				t.Errorf("got error %v, want one about %q", err, tt.want)
+			}
+		})
+	}
+}
+
+// FuzzHeaders guards against headers that make a call exceed its route: a
+// later deadline, a more urgent rank, a deeper chain.
+func FuzzHeaders(f *testing.F) {
+	f.Fuzz(func(t *testing.T, head string) {
+		r, err := parse(head)
+		if err != nil {
+			t.Skip()
+		}
+		now := time.Now()
+		c, err := classifier.Classify(services(), r, now)
+		if err != nil {
+			return
+		}
+		if c.Deadline.Before(now) || c.Deadline.After(now.Add(10*time.Second)) {
+			t.Errorf("got deadline %v, want between %v and 10s later", c.Deadline, now)
+		}
+		if c.Depth < 0 || c.Depth > classifier.MaxDepth || c.Budget < 0 || c.Attempt < 0 || len(c.Identity) > 255 {
+			t.Errorf("got %+v, want values within the limits", c)
+		}
+		if c.Rank >= parser.Ranks {
+			t.Errorf("got rank %d, want one of %d", c.Rank, parser.Ranks)
+		}
+	})
+}
--- /dev/null
+++ b/internal/call/sender/bytes.go
@@ -0,0 +1,45 @@
+package sender
+
+import (
+	"sync"
+
+	"golang.org/x/sync/semaphore"
+)
+
+// Bytes bounds the body bytes that this instance holds per service; the zero
+// value is ready to use.
+type Bytes struct {
+	mu    sync.Mutex
+	limit map[string]*bound
+}
+
+type bound struct {
+	*semaphore.Weighted
+	size int
+}
+
+// defaultBytes is used when the service sets no limit: 64 MiB.
+const defaultBytes = 64 << 20
+
+// Take reserves n bytes of the limit of service and returns the function that
+// gives them back; it returns false when the limit is reached. A limit of 0
+// means 64 MiB.
+func (b *Bytes) Take(service string, limit int, n int64) (free func(), ok bool) {
+	if limit == 0 {
+		limit = defaultBytes
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := b.limit[service]
+	if s == nil || s.size != limit {
+		if b.limit == nil {
+			b.limit = make(map[string]*bound)
+		}
+		s = &bound{semaphore.NewWeighted(int64(limit)), limit}
+		b.limit[service] = s
+	}
+	if !s.TryAcquire(n) {
+		return nil, false
+	}
+	return func() { s.Release(n) }, true
+}
--- a/internal/call/sender/outcome.go
+++ b/internal/call/sender/outcome.go
@@ -1,6 +1,9 @@
 package sender
 
-import "fmt"
+import (
+	"fmt"
+	"net/http"
+)
 
 // Outcome says whether a call that got no whole answer was run.
 type Outcome uint8
@@ -24,10 +27,10 @@
 	}
 }
 
-// Failure is the error of a call that got no answer from Server.
+// Failure is the error of a call that got no answer.
 type Failure struct {
 	Outcome Outcome
-	Reason  string // One word: connect, refused, write, read, deadline.
+	Reason  string // One word: connect, refused, write, read, protocol, deadline, gone.
 	Err     error
 }
 
@@ -36,3 +39,15 @@
 
 // Unwrap returns the cause.
 func (f *Failure) Unwrap() error { return f.Err }
+
+// Status returns the status code that reports f to the caller.
+func (f *Failure) Status() int {
+	switch {
+	case f.Reason == "deadline":
+		return http.StatusGatewayTimeout
+	case f.Outcome == Rejected:
+		return http.StatusServiceUnavailable
+	default:
+		return http.StatusBadGateway
+	}
+}
--- a/internal/call/sender/sender.go
+++ b/internal/call/sender/sender.go
@@ -6,7 +6,7 @@
 	"net/http"
 	"net/http/httptrace"
 	"net/netip"
-	"strconv"
+	"net/textproto"
 	"sync"
 	"time"
 
@@ -17,68 +17,184 @@
 
 // Sender sends calls to backend servers; the zero value is ready to use.
 type Sender struct {
+	Instances func() int // Entry instances in the fleet; nil means 1.
+
+	mu    sync.Mutex
+	pools map[netip.AddrPort]*pool
 	once  sync.Once
-	fresh *http.Transport // For non-idempotent calls: connections used in the last second.
-	warm  *http.Transport
+	http  *http.Transport
 }
 
-// freshness bounds the idle time of a connection that carries a non-idempotent
-// call; an older one may have gone silent.
-const freshness = time.Second
+// Order is one attempt to send a call.
+type Order struct {
+	Call    *classifier.Call
+	Request *http.Request // As it came from the caller; it is not changed.
+	Body    io.ReadCloser // Read instead of the body of Request.
+	Server  netip.AddrPort
+	Attempt int  // Starts at 1.
+	Budget  int  // Retries that the backend server and all calls below it may use.
+	Fresh   bool // Demands a connection that is new or was used within the last second.
+	// Inform is called for every 1xx answer but 100 Continue, which the
+	// caller's own connection sends when the body is first read; it may be nil.
+	Inform func(status int, h http.Header)
+}
 
-const warmth = 30 * time.Second
+const (
+	defaultConnections = 250
+	leastConnections   = 2
+)
 
-// Send sends r as call c to server once. The error is a *Failure.
-func (s *Sender) Send(ctx context.Context, server netip.AddrPort, c *classifier.Call, r *http.Request, attempt int) (*http.Response, error) {
-	s.once.Do(s.setup)
-	t := &trace{}
-	out := outgoing(httptrace.WithClientTrace(ctx, t.hooks()), server, c, r, attempt)
-	transport := s.fresh
-	if c.Idempotent {
-		transport = s.warm
+// Send sends o once. The error is a *Failure. The connection of an answer is
+// used again when its body was read to the end, and is closed, which cancels
+// the call at the backend server, when the body is closed before that or ctx is
+// done. On the documented refusal, the answer and the error are both set.
+func (s *Sender) Send(ctx context.Context, o *Order) (*http.Response, error) {
+	age := warmth
+	if o.Fresh || !o.Call.Idempotent {
+		age = freshness
 	}
-	resp, err := transport.RoundTrip(out)
+	p := s.pool(o.Server)
+	l, err := p.get(ctx, s.http, age, s.share(o.Call.Service.Connections))
 	if err != nil {
-		return nil, t.failure(ctx, err)
+		return nil, failure(ctx, Rejected, "connect", err)
+	}
+	reused := !l.used.IsZero()
+	l.conn.begin()
+	resp, err := l.RoundTrip(outgoing(httptrace.WithClientTrace(ctx, o.trace()), o))
+	if err == nil && resp.StatusCode == http.StatusSwitchingProtocols {
+		_ = resp.Body.Close()
+		_ = l.Close()
+		return nil, failure(ctx, Unknown, "protocol", errors.New("the backend server changed the protocol"))
 	}
+	if err != nil {
+		wrote, answered := l.conn.seal()
+		_ = l.Close()
+		if reused && !answered {
+			p.drop()
+		}
+		if !wrote {
+			return nil, failure(ctx, Rejected, "write", err)
+		}
+		return nil, failure(ctx, Unknown, "read", err)
+	}
+	s.follow(o, l, resp)
 	if resp.StatusCode == http.StatusServiceUnavailable && resp.Header.Get("Sardine-Refused") == "1" {
-		return resp, &Failure{Outcome: Rejected, Reason: "refused", Err: errors.Errorf("backend server %s refused", server)}
+		return resp, &Failure{Outcome: Rejected, Reason: "refused", Err: errors.Errorf("backend server %s refused", o.Server)}
 	}
 	return resp, nil
 }
 
+// follow watches the body of resp for its end.
+func (s *Sender) follow(o *Order, l *link, resp *http.Response) {
+	if o.Request.Method == http.MethodHead || resp.ContentLength == 0 {
+		l.conn.end()
+		return
+	}
+	resp.Body = &answerBody{ReadCloser: resp.Body, link: l}
+}
+
 func (s *Sender) setup() {
-	d := new(dialer)
-	d.Timeout = dialTimeout
-	s.fresh = &http.Transport{DialContext: d.dial, IdleConnTimeout: freshness, MaxIdleConnsPerHost: 8, DisableCompression: true}
-	s.warm = &http.Transport{DialContext: d.dial, IdleConnTimeout: warmth, MaxIdleConnsPerHost: 8, DisableCompression: true}
+	protocols := new(http.Protocols)
+	protocols.SetHTTP1(true)
+	s.http = &http.Transport{
+		DialContext: dial, DisableCompression: true, Protocols: protocols,
+		ExpectContinueTimeout: continueTimeout, MaxResponseHeaderBytes: maxAnswerHeader,
+	}
+	s.pools = make(map[netip.AddrPort]*pool)
 }
 
-// hopHeaders belong to one connection and are not forwarded. The identity
-// headers are left out as well: http.Transport resends a request that carries one.
-var hopHeaders = []string{
-	"Connection", "Proxy-Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
-	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Idempotency-Key", "X-Idempotency-Key",
+func (s *Sender) pool(server netip.AddrPort) *pool {
+	s.once.Do(s.setup)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	p := s.pools[server]
+	if p == nil {
+		p = &pool{server: server, changed: make(chan struct{})}
+		s.pools[server] = p
+	}
+	return p
 }
 
-func outgoing(ctx context.Context, server netip.AddrPort, c *classifier.Call, r *http.Request, attempt int) *http.Request {
-	out := r.Clone(ctx)
-	out.RequestURI = ""
-	out.URL.Scheme, out.URL.Host, out.URL.Path = "http", server.String(), c.Path
-	out.GetBody = nil
-	// A body of its own type keeps http.Transport from treating the request as replayable.
-	out.Body = struct{ io.ReadCloser }{r.Body}
-	for _, h := range hopHeaders {
-		out.Header.Del(h)
-	}
-	left := max(time.Until(c.Deadline).Milliseconds(), 0)
-	out.Header.Set("Sardine-Deadline", strconv.FormatInt(left, 10))
-	out.Header.Set("Sardine-Rank", c.Rank.String())
-	out.Header.Set("Sardine-Depth", strconv.Itoa(c.Depth+1))
-	out.Header.Set("Sardine-Budget", strconv.Itoa(c.Budget))
-	out.Header.Set("Sardine-Attempt", strconv.Itoa(attempt))
-	if c.Identity != "" {
-		out.Header.Set("Sardine-Id", c.Identity)
-	}
-	return out
+// Keep forgets backend servers that are not among servers and have no
+// connection left, and closes the idle connections to them.
+func (s *Sender) Keep(servers map[netip.AddrPort]bool) {
+	s.mu.Lock()
+	var drop []*pool
+	for addr, p := range s.pools {
+		if servers[addr] {
+			continue
+		}
+		drop = append(drop, p)
+		if p.empty() {
+			delete(s.pools, addr)
+		}
+	}
+	s.mu.Unlock()
+	for _, p := range drop {
+		p.drop()
+	}
+}
+
+// share returns how many of the connections to one backend server this
+// instance may open: connections / instances, at least 2 because one of them
+// may be silent.
+func (s *Sender) share(connections int) int {
+	if connections == 0 {
+		connections = defaultConnections
+	}
+	n := 1
+	if s.Instances != nil {
+		n = max(s.Instances(), 1)
+	}
+	return max(connections/n, leastConnections)
+}
+
+func (o *Order) trace() *httptrace.ClientTrace {
+	return &httptrace.ClientTrace{Got1xxResponse: o.inform}
+}
+
+func (o *Order) inform(status int, h textproto.MIMEHeader) error {
+	if o.Inform != nil && status != http.StatusContinue {
+		o.Inform(status, http.Header(h))
+	}
+	return nil
+}
+
+// failure returns the error of an attempt; an attempt that ctx ended has the
+// reason of ctx.
+func failure(ctx context.Context, o Outcome, reason string, err error) *Failure {
+	deadline, ok := ctx.Deadline()
+	switch {
+	case errors.Is(ctx.Err(), context.DeadlineExceeded), ok && !time.Now().Before(deadline):
+		reason = "deadline"
+	case ctx.Err() != nil:
+		reason = "gone"
+	}
+	return &Failure{Outcome: o, Reason: reason, Err: err}
+}
+
+// answerBody is the body of an answer; its end frees the connection.
+type answerBody struct {
+	io.ReadCloser
+	link  *link
+	ended bool
+}
+
+// Read reads the body and marks the exchange as ended at its end.
+func (b *answerBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if err == io.EOF && !b.ended {
+		b.ended = true
+		b.link.conn.end()
+	}
+	return n, err
+}
+
+// Close closes the connection when the answer was not read to its end.
+func (b *answerBody) Close() error {
+	if !b.ended {
+		b.ended = true
+		_ = b.link.Close()
+	}
+	return b.ReadCloser.Close()
 }
--- /dev/null
+++ b/internal/call/sender/sender_test.go
@@ -0,0 +1,260 @@
+package sender_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"sardinelever.example/sardinelever/internal/call/classifier"
+	"sardinelever.example/sardinelever/internal/call/sender"
+	"sardinelever.example/sardinelever/internal/config/parser"
+	"sardinelever.example/sardinelever/internal/route/mapper"
+)
+
+// backend answers the requests of each connection by a script: it is told the
+// number of the connection and of the request on it, and returns false to close.
+type backend struct {
+	net.Listener
+	script   func(conn net.Conn, r *http.Request, number, nth int) bool
+	conns    atomic.Int64
+	requests atomic.Int64
+}
+
+func start(t *testing.T, script func(net.Conn, *http.Request, int, int) bool) *backend {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	b := &backend{Listener: l, script: script}
+	go b.run()
+	return b
+}
+
+func (b *backend) run() {
+	for {
+		c, err := b.Accept()
+		if err != nil {
+			return
+		}
+		go b.loop(c, int(b.conns.Add(1)))
+	}
+}
+
+func (b *backend) loop(c net.Conn, number int) {
+	defer func() { _ = c.Close() }()
+	br := bufio.NewReader(c)
+	for nth := 1; ; nth++ {
+		r, err := http.ReadRequest(br)
+		if err != nil {
+			return
+		}
+		b.requests.Add(1)
+		if !b.script(c, r, number, nth) {
+			return
+		}
+	}
+}
+
+func (b *backend) addr() netip.AddrPort { return b.Addr().(*net.TCPAddr).AddrPort() }
+
+func order(b *backend, method, body string, idempotent bool) *sender.Order {
+	r := httptest.NewRequest(method, "/guidance/book", strings.NewReader(body))
+	r.Header.Set("Idempotency-Key", "k")
+	c := &classifier.Call{
+		Service:  &mapper.Service{Service: &parser.Service{Name: "guidance"}},
+		Deadline: time.Now().Add(time.Minute), Idempotent: idempotent, Path: "/book",
+	}
+	return &sender.Order{Call: c, Request: r, Body: r.Body, Server: b.addr(), Attempt: 1}
+}
+
+func read(t *testing.T, resp *http.Response, err error) string {
+	t.Helper()
+	if err != nil {
+		t.Fatal(err)
+	}
+	text, err := io.ReadAll(resp.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = resp.Body.Close()
+	return string(text)
+}
+
+func write(c net.Conn, text string) bool {
+	_, err := io.WriteString(c, text)
+	return err == nil
+}
+
+const hello = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello"
+
+// TestResend guards against a call that is sent again on its own when a
+// backend server closes a reused connection in answer to it.
+func TestResend(t *testing.T) {
+	for _, method := range []string{http.MethodGet, http.MethodPost} {
+		t.Run(method, func(t *testing.T) {
+			b := start(t, func(c net.Conn, _ *http.Request, _, nth int) bool { return nth == 1 && write(c, hello) })
+			var s sender.Sender
+			var err error
+			sends := int64(0)
+			for err == nil { // Ends with the first call on a reused connection.
+				var resp *http.Response
+				sends++
+				if resp, err = s.Send(t.Context(), order(b, method, "", true)); err == nil {
+					read(t, resp, err)
+				}
+			}
+			var f *sender.Failure
+			if !errors.As(err, &f) || f.Outcome != sender.Unknown {
+				t.Errorf("got error %v, want unknown", err)
+			}
+			if got := b.requests.Load(); got != sends {
+				t.Errorf("got %d requests, want %d", got, sends)
+			}
+		})
+	}
+}
+
+// TestReuse guards against a connection that is used again after an exchange
+// that left something behind, and against one that is never used again.
+func TestReuse(t *testing.T) {
+	tests := []struct {
+		name, first string
+		reuse       bool
+	}{
+		{"whole", hello, true},
+		{"empty", "HTTP/1.1 204 No Content\r\n\r\n", true},
+		{"chunked", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n0\r\n\r\n", true},
+		{"answer twice", hello + strings.Replace(hello, "hello", "wrong", 1), false},
+		{"bytes after an empty answer", "HTTP/1.1 204 No Content\r\n\r\n" + hello, false},
+		{"connection closes", strings.Replace(hello, "OK\r\n", "OK\r\nConnection: close\r\n", 1), false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			b := start(t, func(c net.Conn, r *http.Request, _, _ int) bool {
+				if r.Header.Get("Sardine-Attempt") == "2" {
+					return write(c, strings.Replace(hello, "hello", "again", 1))
+				}
+				return write(c, tt.first)
+			})
+			var s sender.Sender
+			resp, err := s.Send(t.Context(), order(b, http.MethodGet, "", false))
+			read(t, resp, err)
+			for again := true; again; again = tt.reuse && b.conns.Load() == b.requests.Load() {
+				o := order(b, http.MethodGet, "", false)
+				o.Attempt = 2
+				resp, err = s.Send(t.Context(), o)
+				if got := read(t, resp, err); got != "again" {
+					t.Errorf("got answer %q, want %q", got, "again")
+				}
+			}
+			if got := b.conns.Load(); !tt.reuse && got != 2 {
+				t.Errorf("got %d connections, want 2", got)
+			}
+		})
+	}
+}
+
+// TestCancel guards against a cancelled attempt that leaves its connection
+// open, so that the backend server goes on, or that counts as not run.
+func TestCancel(t *testing.T) {
+	arrived, closed := make(chan bool, 1), make(chan bool, 1)
+	b := start(t, func(c net.Conn, _ *http.Request, _, _ int) bool {
+		arrived <- true
+		_, _ = c.Read(make([]byte, 1))
+		closed <- true
+		return false
+	})
+	ctx, cancel := context.WithCancel(t.Context())
+	go cancelOn(arrived, cancel)
+	_, err := new(sender.Sender).Send(ctx, order(b, http.MethodPost, "", false))
+	var f *sender.Failure
+	if !errors.As(err, &f) || f.Outcome != sender.Unknown || f.Reason != "gone" {
+		t.Errorf("got error %v, want unknown: gone", err)
+	}
+	<-closed
+}
+
+func cancelOn(c <-chan bool, cancel func()) {
+	<-c
+	cancel()
+}
+
+// TestShare guards against more connections to a backend server than this
+// instance's share of them.
+func TestShare(t *testing.T) {
+	release := make(chan bool)
+	b := start(t, func(c net.Conn, _ *http.Request, _, _ int) bool { return <-release && write(c, hello) })
+	s := &sender.Sender{Instances: func() int { return 125 }}
+	got := make(chan error)
+	for range 8 {
+		go func() {
+			resp, err := s.Send(t.Context(), order(b, http.MethodGet, "", false))
+			if err == nil {
+				_, err = io.Copy(io.Discard, resp.Body)
+			}
+			got <- err
+		}()
+	}
+	for range 8 {
+		release <- true
+		if err := <-got; err != nil {
+			t.Error(err)
+		}
+	}
+	if n := b.conns.Load(); n != 2 {
+		t.Errorf("got %d connections, want 2", n)
+	}
+}
+
+// TestHeaders guards against hop-by-hop headers that pass, and against lost
+// trailers, 1xx answers and 100 Continue.
+func TestHeaders(t *testing.T) {
+	b := start(t, func(c net.Conn, r *http.Request, _, _ int) bool {
+		if r.Header.Get("Expect") != "100-continue" || !write(c, "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\nHTTP/1.1 100 Continue\r\n\r\n") {
+			return false
+		}
+		body, _ := io.ReadAll(r.Body)
+		text := fmt.Sprintf("%s %v %v %v %q", body, r.Trailer["Sum"], r.Header["Secret"], r.Header["Keep-Alive"], r.URL.Path)
+		return write(c, fmt.Sprintf("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nTrailer: End\r\n\r\n%x\r\n%s\r\n0\r\nEnd: yes\r\n\r\n", len(text), text))
+	})
+	o := order(b, http.MethodPost, "body", false)
+	for name, value := range map[string]string{"Connection": "close, secret", "Secret": "1", "Keep-Alive": "1", "Expect": "100-continue"} {
+		o.Request.Header.Set(name, value)
+	}
+	o.Request.ContentLength, o.Request.Trailer = -1, http.Header{"Sum": {"7"}}
+	hints := 0
+	o.Inform = func(status int, _ http.Header) { hints += status }
+	resp, err := new(sender.Sender).Send(t.Context(), o)
+	if got, want := read(t, resp, err), `body [7] [] [] "/book"`; got != want {
+		t.Errorf("got %s, want %s", got, want)
+	}
+	if got := resp.Trailer.Get("End"); got != "yes" || hints != http.StatusEarlyHints {
+		t.Errorf("got trailer %q and 1xx %d, want yes and 103", got, hints)
+	}
+}
+
+// TestBytes guards against body bytes beyond the limit of a service.
+func TestBytes(t *testing.T) {
+	var b sender.Bytes
+	free, ok := b.Take("guidance", 10, 8)
+	if _, more := b.Take("guidance", 10, 8); !ok || more {
+		t.Errorf("got %v and %v, want only the first", ok, more)
+	}
+	free()
+	if _, ok := b.Take("guidance", 10, 8); !ok {
+		t.Error("got no bytes after they were given back")
+	}
+}
--- a/internal/instance/runner/pipe.go
+++ b/internal/instance/runner/pipe.go
@@ -48,7 +48,7 @@
 
 func (p *pipe) send(ctx context.Context, w http.ResponseWriter, r *http.Request, c *classifier.Call, slot *asker.Slot) {
 	start := time.Now()
-	resp, err := p.sender.Send(ctx, slot.Server, c, r, 1)
+	resp, err := p.sender.Send(ctx, &sender.Order{Call: c, Request: r, Body: r.Body, Server: slot.Server, Attempt: 1, Budget: c.Budget})
 	result := asker.Result{Failed: err != nil, Busy: -1}
 	defer func() {
 		result.Latency = time.Since(start)
