Run identified calls at most once and show cut answers

The answerer passed signals of backend servers and headers named by Connection on to callers, and did not flush streams.

Change: deduper with the pure rule (Rules.Decide), a bounded store of records, issued identities, forwarding on streams of kind call and a listener for them. answerer strips signals, marks failed answers, flushes streams, passes trailers and 1xx answers, spreads Retry-After.

--- /dev/null
+++ b/internal/call/answerer/answerer_test.go
@@ -0,0 +1,118 @@
+package answerer_test
+
+import (
+	"crypto/tls"
+	"errors"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"testing"
+	"testing/iotest"
+	"time"
+
+	"sardinelever.example/sardinelever/internal/call/answerer"
+	"sardinelever.example/sardinelever/internal/call/sender"
+)
+
+// serve answers callers of HTTP/1.1 or HTTP/2 with the answer that make returns.
+func serve(t *testing.T, http2 bool, answer func() *http.Response) *httptest.Server {
+	t.Helper()
+	a := &answerer.Answerer{Instance: "one"}
+	s := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { a.Copy(w, answer()) }))
+	s.EnableHTTP2 = http2
+	s.TLS = &tls.Config{}
+	s.StartTLS()
+	t.Cleanup(s.Close)
+	return s
+}
+
+func answer(body io.Reader, length int64) *http.Response {
+	return &http.Response{
+		StatusCode: http.StatusOK, ContentLength: length, Body: io.NopCloser(body),
+		Header:  http.Header{"Connection": {"secret"}, "Secret": {"1"}, "Sardine-Load": {"1/2"}, "Sardine-Outcome": {"rejected"}, "Kept": {"1"}},
+		Trailer: http.Header{"End": {"yes"}},
+	}
+}
+
+// TestCut guards against a cut answer that looks whole to the caller.
+func TestCut(t *testing.T) {
+	for _, http2 := range []bool{false, true} {
+		for _, length := range []int64{-1, 10} {
+			s := serve(t, http2, func() *http.Response {
+				return answer(io.MultiReader(strings.NewReader("part"), iotest.ErrReader(errors.New("cut"))), length)
+			})
+			resp, err := s.Client().Get(s.URL)
+			if err == nil {
+				_, err = io.ReadAll(resp.Body)
+			}
+			if err == nil {
+				t.Errorf("HTTP/2 %v, length %d: got no error, want one", http2, length)
+			}
+		}
+	}
+}
+
+// TestCopy guards against headers of one connection or of this instance that
+// reach the caller, and against lost trailers.
+func TestCopy(t *testing.T) {
+	for _, http2 := range []bool{false, true} {
+		s := serve(t, http2, func() *http.Response { return answer(strings.NewReader("whole"), -1) })
+		resp, err := s.Client().Get(s.URL)
+		if err != nil {
+			t.Fatal(err)
+		}
+		text, err := io.ReadAll(resp.Body)
+		if err != nil || string(text) != "whole" {
+			t.Errorf("got %q, %v, want whole", text, err)
+		}
+		got := []string{
+			resp.Header.Get("Secret"), resp.Header.Get("Sardine-Load"), resp.Header.Get("Sardine-Outcome"),
+			resp.Header.Get("Kept"), resp.Header.Get("Sardine-Instance"), resp.Trailer.Get("End"),
+		}
+		if want := ",,,1,one,yes"; strings.Join(got, ",") != want {
+			t.Errorf("HTTP/2 %v: got %v, want %v", http2, got, want)
+		}
+	}
+}
+
+// TestStream guards against parts of a stream that wait for the next ones.
+func TestStream(t *testing.T) {
+	r, w := io.Pipe()
+	s := serve(t, false, func() *http.Response { return answer(r, -1) })
+	resp, err := s.Client().Get(s.URL)
+	if err != nil {
+		t.Fatal(err)
+	}
+	part := make([]byte, 4)
+	for range 2 {
+		if _, err := io.WriteString(w, "part"); err != nil {
+			t.Fatal(err)
+		}
+		if _, err := io.ReadFull(resp.Body, part); err != nil || string(part) != "part" {
+			t.Errorf("got %q, %v, want part", part, err)
+		}
+	}
+	_ = w.Close()
+}
+
+// TestReport guards against callers that are told to return at the same time.
+func TestReport(t *testing.T) {
+	seen := make(map[int]bool)
+	for range 200 {
+		w := httptest.NewRecorder()
+		new(answerer.Answerer).Report(w, answerer.Report{Outcome: sender.Rejected, Status: http.StatusServiceUnavailable, Reason: "full", After: 10 * time.Second})
+		n, err := strconv.Atoi(w.Header().Get("Retry-After"))
+		if err != nil || n < 10 || n > 22 {
+			t.Fatalf("got Retry-After %d, %v, want 10 to 22", n, err)
+		}
+		seen[n] = true
+		if got, want := w.Body.String(), "The call was not run: full\n"; got != want {
+			t.Fatalf("got text %q, want %q", got, want)
+		}
+	}
+	if len(seen) < 5 {
+		t.Errorf("got only the values %v, want them spread", seen)
+	}
+}
--- /dev/null
+++ b/internal/call/deduper/deduper.go
@@ -0,0 +1,217 @@
+package deduper
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"sardinelever.example/sardinelever/internal/call/answerer"
+	"sardinelever.example/sardinelever/internal/call/classifier"
+	"sardinelever.example/sardinelever/internal/call/sender"
+	"sardinelever.example/sardinelever/internal/fleet/linker"
+)
+
+// Fleet is what the rule needs to know of the other instances.
+type Fleet interface {
+	// Place returns the place of key, the start of the unbroken series of own
+	// reads of the list that name it, and the last read. The name is empty
+	// before the first read. A gap of more than 10 s between two reads starts
+	// a new series.
+	Place(key string) (name string, since, read time.Time)
+	// Peer returns the address at which an instance accepts streams.
+	Peer(name string) (netip.AddrPort, bool)
+	// Open opens a stream to another instance.
+	Open(ctx context.Context, peer netip.AddrPort, k linker.Kind) (net.Conn, error)
+}
+
+// Deduper applies the rule; its fields are set before the first call. Run
+// serves the calls that other instances forward.
+type Deduper struct {
+	Name        string
+	Peer        netip.AddrPort
+	Incarnation uint64
+	Fleet       Fleet
+	Rules       Rules
+	Records     int // Records kept; 0 means 100,000.
+	Bytes       int // Bytes of answers kept; 0 means 64 MiB.
+	// Handler runs the calls that other instances forwarded; it calls Do with
+	// forwarded set.
+	Handler  http.Handler
+	Answerer *answerer.Answerer
+
+	once     sync.Once
+	start    time.Time
+	last     atomic.Uint64
+	store    Store
+	http     *http.Transport
+	listener listener
+}
+
+func (d *Deduper) setup() {
+	d.start = time.Now()
+	d.Rules = d.Rules.withDefaults()
+	d.store.Records, d.store.Bytes, d.store.Retention = d.Records, d.Bytes, d.Rules.retention()
+	// Each call has a stream of its own: http.Transport resends only on reused ones.
+	d.http = &http.Transport{DialContext: d.dial, DisableKeepAlives: true, DisableCompression: true}
+	d.listener.setup(d.Peer)
+}
+
+// Issue returns a new identity that only this incarnation may run.
+func (d *Deduper) Issue() string {
+	d.once.Do(d.setup)
+	for {
+		last := d.last.Load()
+		next := max(last+1, uint64(time.Since(d.start)))
+		if d.last.CompareAndSwap(last, next) {
+			return issued(d.Peer, d.Incarnation, next).Text
+		}
+	}
+}
+
+// ServeHTTP answers with an issued identity.
+func (d *Deduper) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+	w.Header().Set("Cache-Control", "no-store")
+	_, _ = fmt.Fprintln(w, d.Issue())
+}
+
+// Do answers the call c, which has an identity: it runs it with run, forwards
+// it, gives the first answer again or reports why it does none of these. run
+// returns whether the call may have run; when it panics, it may have. A call
+// that was begun goes on when its caller hangs up, so that a repeat gets the
+// answer.
+func (d *Deduper) Do(w http.ResponseWriter, r *http.Request, c *classifier.Call, forwarded bool, run func(http.ResponseWriter, *http.Request) bool) {
+	d.once.Do(d.setup)
+	id := Parse(c.Identity)
+	for {
+		decision, rec := d.begin(id, r, c, forwarded)
+		switch decision.Verdict {
+		case Run:
+			d.run(w, r, rec, run)
+		case Forward:
+			d.forward(w, r, c, decision)
+		case Replay:
+			if a, ok := d.store.Answer(rec); ok {
+				a.write(w)
+			}
+		case Wait:
+			if d.wait(w, r, c, rec) {
+				continue
+			}
+		case Unknown:
+			d.report(w, sender.Unknown, decision.Reason)
+		case Reject:
+			d.report(w, sender.Rejected, decision.Reason)
+		}
+		return
+	}
+}
+
+func (d *Deduper) begin(id Identity, r *http.Request, c *classifier.Call, forwarded bool) (Decision, *Record) {
+	v := View{
+		Name: d.Name, Peer: d.Peer, Incarnation: d.Incarnation, Last: d.last.Load(), Forwarded: forwarded,
+	}
+	v.Place, v.Since, v.Read = d.Fleet.Place(id.Text)
+	// The clock is read after the place: a pause between them makes the read look older.
+	v.Now, v.Elapsed = time.Now(), time.Since(d.start)
+	return d.store.Begin(id.Text, fingerprint(r, c), v.Now, func(s State, full bool) Decision {
+		v.Full = full
+		return d.Rules.Decide(id, v, s)
+	})
+}
+
+// fingerprint tells calls apart that wrongly share an identity.
+func fingerprint(r *http.Request, c *classifier.Call) uint64 {
+	var h xxhash.Digest
+	h.Reset()
+	for _, part := range []string{
+		c.Service.Name, r.Method, c.Path, r.URL.RawQuery, r.Header.Get("Authorization"), r.Header.Get("Content-Type"),
+	} {
+		_, _ = h.WriteString(part)
+		_, _ = h.Write([]byte{0})
+	}
+	return h.Sum64()
+}
+
+func (d *Deduper) run(w http.ResponseWriter, r *http.Request, rec *Record, run func(http.ResponseWriter, *http.Request) bool) {
+	rw := &recorder{ResponseWriter: w, store: &d.store, rec: rec}
+	ended := false
+	defer func() {
+		if !ended { // run panicked to abort the caller's connection.
+			d.store.End(rec, nil, time.Now())
+		}
+	}()
+	ran := run(rw, r.WithContext(context.WithoutCancel(r.Context())))
+	ended = true
+	if !ran {
+		d.store.Forget(rec)
+		return
+	}
+	d.store.End(rec, rw.answer(), time.Now())
+}
+
+// wait waits for the first attempt; it reports the outcome and returns false
+// when the deadline of this one passes before.
+func (d *Deduper) wait(w http.ResponseWriter, r *http.Request, c *classifier.Call, rec *Record) bool {
+	ctx, cancel := context.WithDeadline(r.Context(), c.Deadline)
+	defer cancel()
+	select {
+	case <-rec.Done:
+		return true
+	case <-ctx.Done():
+		d.report(w, sender.Unknown, "deadline")
+		return false
+	}
+}
+
+func (d *Deduper) report(w http.ResponseWriter, o sender.Outcome, reason string) {
+	f := &sender.Failure{Outcome: o, Reason: reason}
+	status := f.Status()
+	if o == sender.Rejected && reason == "identity" {
+		status = http.StatusBadRequest
+	}
+	d.Answerer.Report(w, answerer.Report{Outcome: o, Status: status, Reason: reason, Detail: details[reason], After: time.Second})
+}
+
+var details = map[string]string{
+	"lost":     "the first attempt ended and its answer is not kept",
+	"place":    "the instances do not agree on the one that may run this identity, or it cannot be reached",
+	"gone":     "the instance that issued this identity was replaced",
+	"stale":    "this instance has not read the list of instances lately",
+	"future":   "the time of the identity is in the future",
+	"old":      "the identity is too old",
+	"moved":    "another instance may have run this identity before",
+	"full":     "no more identities can be remembered",
+	"identity": "the identity belongs to another call or was never issued",
+	"deadline": "the first attempt still runs",
+}
+
+// Run serves the calls that arrive by Serve until ctx is done; calls in flight
+// then end.
+func (d *Deduper) Run(ctx context.Context) error {
+	d.once.Do(d.setup)
+	s := &http.Server{Handler: d.Handler, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaders}
+	stop := context.AfterFunc(ctx, d.listener.stop)
+	defer stop()
+	_ = s.Serve(&d.listener) // Ends when the listener is closed.
+	return s.Shutdown(context.WithoutCancel(ctx))
+}
+
+// Serve hands over a stream of kind linker.Call from another instance; it
+// returns when the stream is closed.
+func (d *Deduper) Serve(conn net.Conn) {
+	d.once.Do(d.setup)
+	d.listener.serve(conn)
+}
+
+const (
+	headerTimeout = 5 * time.Second
+	maxHeaders    = 128 << 10 // Twice what the entry instance accepts from callers.
+)
--- /dev/null
+++ b/internal/call/deduper/deduper_test.go
@@ -0,0 +1,218 @@
+package deduper_test
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/pkg/errors"
+
+	"sardinelever.example/sardinelever/internal/call/answerer"
+	"sardinelever.example/sardinelever/internal/call/classifier"
+	"sardinelever.example/sardinelever/internal/call/deduper"
+	"sardinelever.example/sardinelever/internal/config/parser"
+	"sardinelever.example/sardinelever/internal/fleet/linker"
+	"sardinelever.example/sardinelever/internal/route/mapper"
+)
+
+// fleet is two instances, "one" and "two", with two as the place of every identity.
+type fleet struct {
+	instances map[netip.AddrPort]*instance
+	down      atomic.Bool
+}
+
+type instance struct {
+	*deduper.Deduper
+	runs atomic.Int64
+	// answer writes the answer of a run and returns whether it ran.
+	answer func(w http.ResponseWriter, r *http.Request) bool
+}
+
+var one, two = netip.MustParseAddrPort("10.0.0.1:7000"), netip.MustParseAddrPort("10.0.0.2:7000")
+
+func (f *fleet) Place(string) (name string, since, read time.Time) {
+	return "two", time.Now().Add(-time.Hour), time.Now()
+}
+func (f *fleet) Peer(string) (netip.AddrPort, bool) { return two, true }
+
+func (f *fleet) Open(_ context.Context, peer netip.AddrPort, _ linker.Kind) (net.Conn, error) {
+	if f.down.Load() || f.instances[peer] == nil {
+		return nil, errors.Errorf("%s cannot be reached", peer)
+	}
+	here, there := net.Pipe()
+	go f.instances[peer].Serve(there)
+	return here, nil
+}
+
+func start(t *testing.T, answer func(w http.ResponseWriter, r *http.Request) bool) *fleet {
+	f := &fleet{instances: make(map[netip.AddrPort]*instance)}
+	ctx, cancel := context.WithCancel(t.Context())
+	t.Cleanup(cancel)
+	for name, peer := range map[string]netip.AddrPort{"one": one, "two": two} {
+		i := &instance{answer: answer}
+		i.Deduper = &deduper.Deduper{
+			Name: name, Peer: peer, Incarnation: 7, Fleet: f, Records: 100, Answerer: &answerer.Answerer{Instance: name},
+			Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { i.do(w, r, true) }),
+		}
+		f.instances[peer] = i
+		go i.loop(ctx)
+	}
+	return f
+}
+
+func (i *instance) loop(ctx context.Context) { _ = i.Run(ctx) }
+
+func (i *instance) do(w http.ResponseWriter, r *http.Request, forwarded bool) {
+	m := &mapper.Map{Services: map[string]*mapper.Service{"deposits": {Service: &parser.Service{Name: "deposits"}}}}
+	c, err := classifier.Classify(m, r, time.Now())
+	if err != nil {
+		i.Answerer.Report(w, answerer.Report{Status: http.StatusBadRequest, Detail: err.Error()})
+		return
+	}
+	i.Do(w, r, c, forwarded, func(w http.ResponseWriter, r *http.Request) bool {
+		i.runs.Add(1)
+		return i.answer(w, r)
+	})
+}
+
+func (f *fleet) runs() int64 { return f.instances[one].runs.Load() + f.instances[two].runs.Load() }
+
+// call sends a call to an instance and returns the outcome, or the text of an answer.
+func (f *fleet) call(at netip.AddrPort, path, id string) string {
+	r := httptest.NewRequest(http.MethodPost, "/deposits/"+path, strings.NewReader("body"))
+	r.Header.Set("Sardine-Id", id)
+	w := httptest.NewRecorder()
+	defer func() { _ = recover() }()
+	f.instances[at].do(w, r, false)
+	if o := w.Header().Get("Sardine-Outcome"); o != "" {
+		return o + " " + w.Header().Get("Sardine-Reason")
+	}
+	return w.Body.String()
+}
+
+func text(s string) func(http.ResponseWriter, *http.Request) bool {
+	return func(w http.ResponseWriter, r *http.Request) bool {
+		body, _ := io.ReadAll(r.Body)
+		_, _ = io.WriteString(w, s+string(body))
+		return true
+	}
+}
+
+func newID() string { return uuid.Must(uuid.NewV7()).String() }
+
+// TestRepeat guards against a repeat that runs again or gets another answer,
+// at whatever instance it arrives.
+func TestRepeat(t *testing.T) {
+	f := start(t, text("receipt "))
+	id := newID()
+	for _, at := range []netip.AddrPort{one, two, one} {
+		if got, want := f.call(at, "pay", id), "receipt body"; got != want {
+			t.Errorf("got %q, want %q", got, want)
+		}
+	}
+	if got, want := f.call(one, "other", id), "rejected identity"; got != want {
+		t.Errorf("got %q for another call with the same identity, want %q", got, want)
+	}
+	if f.runs() != 1 || f.instances[one].runs.Load() != 0 {
+		t.Errorf("got %d runs, want 1 at two", f.runs())
+	}
+}
+
+// TestWait guards against a repeat that runs while the first attempt still runs.
+func TestWait(t *testing.T) {
+	begun, release := make(chan bool, 2), make(chan bool)
+	f := start(t, func(w http.ResponseWriter, r *http.Request) bool {
+		begun <- true
+		<-release
+		return text("receipt ")(w, r)
+	})
+	id, got := newID(), make(chan string)
+	for range 2 {
+		go func() { got <- f.call(one, "pay", id) }()
+	}
+	<-begun
+	close(release)
+	for range 2 {
+		if got := <-got; got != "receipt body" {
+			t.Errorf("got %q, want %q", got, "receipt body")
+		}
+	}
+	if f.runs() != 1 {
+		t.Errorf("got %d runs, want 1", f.runs())
+	}
+}
+
+// TestOutcomes guards against a repeat whose outcome hides that the first
+// attempt may have run, and against one that is refused although nothing ran.
+func TestOutcomes(t *testing.T) {
+	tests := []struct {
+		name   string
+		answer func(http.ResponseWriter, *http.Request) bool
+		id     string
+		repeat string
+		runs   int64
+	}{
+		{"rejected", func(http.ResponseWriter, *http.Request) bool { return false }, newID(), "", 2},
+		{"large", text(strings.Repeat("x", 70<<10)), newID(), "unknown lost", 1},
+		{"cut", func(http.ResponseWriter, *http.Request) bool { panic(http.ErrAbortHandler) }, newID(), "unknown lost", 1},
+		{"old", text(""), "0190163d-8694-739b-aea5-966c26f8ad91", "unknown old", 0},
+		{"future", text(""), "0f90163d-8694-739b-aea5-966c26f8ad91", "unknown future", 0},
+		{"no time", text("ok "), "order 12", "ok body", 1},
+		{"other incarnation", text(""), "10.0.0.2:7000/6/1", "unknown gone", 0},
+		{"no such instance", text(""), "10.0.0.3:7000/7/1", "unknown place", 0},
+		{"never issued", text(""), "10.0.0.2:7000/7/9000000000000000000", "rejected identity", 0},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			f := start(t, tt.answer)
+			f.call(one, "pay", tt.id)
+			if got := f.call(one, "pay", tt.id); got != tt.repeat {
+				t.Errorf("got %q, want %q", got, tt.repeat)
+			}
+			if f.runs() != tt.runs {
+				t.Errorf("got %d runs, want %d", f.runs(), tt.runs)
+			}
+		})
+	}
+}
+
+// TestUnreachable guards against an instance that runs a call itself because
+// it cannot reach the one that may.
+func TestUnreachable(t *testing.T) {
+	f := start(t, text("ok "))
+	issued := f.instances[two].Issue()
+	f.down.Store(true)
+	for _, id := range []string{newID(), issued} {
+		if got, want := f.call(one, "pay", id), "unknown place"; got != want {
+			t.Errorf("got %q, want %q", got, want)
+		}
+	}
+	f.down.Store(false)
+	if got, want := f.call(one, "pay", issued), "ok body"; got != want {
+		t.Errorf("got %q, want %q", got, want)
+	}
+}
+
+// TestFull guards against records that grow without bound or are dropped early.
+func TestFull(t *testing.T) {
+	f := start(t, text("ok "))
+	first := newID()
+	f.call(two, "pay", first)
+	for range 99 {
+		f.call(two, "pay", newID())
+	}
+	if got, want := f.call(two, "pay", newID()), "rejected full"; got != want {
+		t.Errorf("got %q, want %q", got, want)
+	}
+	if got, want := f.call(two, "pay", first), "ok body"; got != want {
+		t.Errorf("got %q, want %q", got, want)
+	}
+}
--- /dev/null
+++ b/internal/call/deduper/store.go
@@ -0,0 +1,136 @@
+package deduper
+
+import (
+	"cmp"
+	"container/list"
+	"net/http"
+	"sync"
+	"time"
+)
+
+// Limits of the records, when Deduper sets none.
+const (
+	defaultRecords = 100_000
+	defaultBytes   = 64 << 20
+	maxAnswer      = 64 << 10 // Bytes of one answer; a larger one is not kept.
+)
+
+// Answer is the kept answer to a call.
+type Answer struct {
+	Status  int
+	Header  http.Header // As sent before the body.
+	Trailer http.Header // Header and trailers as they were after the body.
+	Body    []byte
+}
+
+// Record is the memory of one identity.
+type Record struct {
+	Print  uint64        // Fingerprint of the call.
+	Done   chan struct{} // Closed when the first attempt has ended.
+	key    string
+	state  State
+	answer Answer
+	held   int // Bytes counted for the answer.
+	until  time.Time
+}
+
+// Store keeps records within bounds. Its fields are set before use.
+type Store struct {
+	Records   int           // 0 means 100,000.
+	Bytes     int           // Bytes of answers; 0 means 64 MiB.
+	Retention time.Duration // Time from the end of the first attempt.
+
+	mu      sync.Mutex
+	records map[string]*Record
+	ended   list.List // Records in order of their end.
+	held    int
+}
+
+// Begin calls decide with the state of the record for key while no other
+// attempt can change it. When decide returns Run, it makes a running record.
+func (s *Store) Begin(key string, print uint64, now time.Time, decide func(State, bool) Decision) (Decision, *Record) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expire(now)
+	state := None
+	rec := s.records[key]
+	if rec != nil {
+		state = rec.state
+	}
+	if rec != nil && rec.Print != print {
+		// The identity belongs to another call; this one did not run.
+		return Decision{Verdict: Reject, Reason: "identity"}, nil
+	}
+	full := len(s.records) >= s.limit() || s.held >= s.bytes()
+	d := decide(state, full)
+	if d.Verdict == Run {
+		if s.records == nil {
+			s.records = make(map[string]*Record)
+		}
+		rec = &Record{Print: print, Done: make(chan struct{}), key: key, state: Running}
+		s.records[key] = rec
+	}
+	return d, rec
+}
+
+// Reserve counts n more bytes for the answer of rec; it returns false when the
+// answer cannot be kept.
+func (s *Store) Reserve(rec *Record, n int) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if rec.held+n > maxAnswer || s.held+n > s.bytes() {
+		return false
+	}
+	rec.held += n
+	s.held += n
+	return true
+}
+
+// Forget removes rec: its call did not run.
+func (s *Store) Forget(rec *Record) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.held -= rec.held
+	delete(s.records, rec.key)
+	close(rec.Done)
+}
+
+// End keeps the answer of rec, or only that it may have run when a is nil.
+func (s *Store) End(rec *Record, a *Answer, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	rec.state = Lost
+	if a != nil {
+		rec.state, rec.answer = Kept, *a
+	} else {
+		s.held -= rec.held
+		rec.held = 0
+	}
+	rec.until = now.Add(s.Retention)
+	s.ended.PushBack(rec)
+	close(rec.Done)
+}
+
+// Answer returns the kept answer of rec after Done is closed.
+func (s *Store) Answer(rec *Record) (Answer, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return rec.answer, rec.state == Kept
+}
+
+// expire drops the records whose time has passed; s.mu is held.
+func (s *Store) expire(now time.Time) {
+	for e := s.ended.Front(); e != nil; e = s.ended.Front() {
+		rec := e.Value.(*Record)
+		if !now.After(rec.until) {
+			return
+		}
+		s.ended.Remove(e)
+		s.held -= rec.held
+		delete(s.records, rec.key)
+	}
+}
+
+func (s *Store) limit() int { return cmp.Or(s.Records, defaultRecords) }
+
+func (s *Store) bytes() int { return cmp.Or(s.Bytes, defaultBytes) }
--- a/internal/instance/runner/pipe.go
+++ b/internal/instance/runner/pipe.go
@@ -19,6 +19,7 @@
 	maps   *mapper.Holder
 	asker  *asker.Asker
 	sender sender.Sender
+	answer answerer.Answerer
 }
 
 // ServeHTTP classifies a call, acquires a slot, sends the call and answers.
@@ -29,7 +30,7 @@
 		if errors.Is(err, classifier.ErrService) {
 			status = http.StatusNotFound
 		}
-		answerer.Report(w, sender.Rejected, status, err.Error(), 0)
+		p.answer.Report(w, answerer.Report{Status: status, Reason: "header", Detail: err.Error()})
 		return
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), c.Deadline)
@@ -40,7 +41,7 @@
 		if !errors.As(err, &f) {
 			f = &asker.Refusal{Reason: "late"}
 		}
-		answerer.Report(w, sender.Rejected, http.StatusServiceUnavailable, f.Reason, f.After)
+		p.answer.Report(w, answerer.Report{Status: http.StatusServiceUnavailable, Reason: f.Reason, After: f.After})
 		return
 	}
 	p.send(ctx, w, r, c, slot)
@@ -55,7 +56,7 @@
 		slot.Release(result)
 	}()
 	if err == nil {
-		answerer.Copy(w, resp)
+		p.answer.Copy(w, resp)
 		return
 	}
 	if resp != nil {
@@ -65,9 +66,5 @@
 	if !errors.As(err, &f) {
 		f = &sender.Failure{Outcome: sender.Unknown, Reason: "read"}
 	}
-	status := http.StatusBadGateway
-	if f.Outcome == sender.Rejected {
-		status = http.StatusServiceUnavailable
-	}
-	answerer.Report(w, f.Outcome, status, f.Reason, time.Second)
+	p.answer.Report(w, answerer.Report{Outcome: f.Outcome, Status: f.Status(), Reason: f.Reason, After: time.Second})
 }
