Retry and hedge calls within budgets

Cause: a refused call was reported to the caller although another backend server could run it, and an urgent read waited for a silent connection.

Figures: a chain of 27 failing levels with budget 1 sends at most 405 times (test); 1000 failing calls with budget 5 send at most 1060 times.

--- /dev/null
+++ b/internal/call/retrier/retrier_test.go
@@ -0,0 +1,189 @@
+package retrier_test
+
+import (
+	"context"
+	"io"
+	"net/netip"
+	"strings"
+	"testing"
+
+	"github.com/pkg/errors"
+
+	"sardinelever.example/sardinelever/internal/call/retrier"
+	"sardinelever.example/sardinelever/internal/call/sender"
+)
+
+var (
+	errUnknown  = &sender.Failure{Outcome: sender.Unknown, Reason: "read"}
+	errRejected = &sender.Failure{Outcome: sender.Rejected, Reason: "refused"}
+	errSlot     = errors.New("no slot")
+)
+
+func server(n int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.MustParseAddr("10.0.0.1"), uint16(n))
+}
+
+// TestPolicy guards against a retry of a call that may have run, a missing
+// retry of one that did not, and an outcome that hides that a call may have run.
+func TestPolicy(t *testing.T) {
+	tests := []struct {
+		name       string
+		idempotent bool
+		budget     int
+		replay     bool
+		errs       []error // Of the attempts; the one after them answers.
+		sends      int
+		want       error
+	}{
+		{"answered", false, 1, true, nil, 1, nil},
+		{"rejected", false, 1, true, []error{errRejected}, 2, nil},
+		{"rejected without budget", false, 0, true, []error{errRejected}, 1, errRejected},
+		{"rejected twice", false, 1, true, []error{errRejected, errRejected}, 2, errRejected},
+		{"rejected thrice", false, 3, true, []error{errRejected, errRejected, errRejected}, 4, nil},
+		{"rejected, body lost", false, 1, false, []error{errRejected}, 1, errRejected},
+		{"unknown", false, 1, true, []error{errUnknown}, 1, errUnknown},
+		{"unknown, idempotent", true, 1, true, []error{errUnknown}, 2, nil},
+		{"unknown, then rejected", true, 2, true, []error{errUnknown, errRejected, errSlot}, 3, errUnknown},
+		{"rejected, then no slot", false, 2, true, []error{errRejected, errSlot}, 2, errRejected},
+		{"no slot", true, 2, true, []error{errSlot}, 1, errSlot},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			sends := 0
+			c := &retrier.Call[int]{Idempotent: tt.idempotent, Budget: tt.budget, Replay: func() bool { return tt.replay }}
+			c.Try = func(_ context.Context, a *retrier.Attempt) (int, error) {
+				sends++
+				if got := len(a.Avoid()); got != sends-1 || a.Number != sends || a.Budget != tt.budget-sends+1 {
+					t.Errorf("got attempt %+v that avoids %d, want number %d", a, got, sends)
+				}
+				a.Use(server(sends))
+				if sends <= len(tt.errs) {
+					return 0, tt.errs[sends-1]
+				}
+				return 7, nil
+			}
+			v, err := new(retrier.Retrier[int]).Do(t.Context(), c)
+			if !errors.Is(err, tt.want) || err == nil && v != 7 || sends != tt.sends {
+				t.Errorf("got %d, %v after %d sends, want %v after %d", v, err, sends, tt.want, tt.sends)
+			}
+		})
+	}
+}
+
+// TestChain guards against retries that multiply over the levels of a call tree.
+func TestChain(t *testing.T) {
+	const levels = 27
+	var rs [levels]retrier.Retrier[int]
+	sends := 0
+	var call func(level, budget int) error
+	call = func(level, budget int) error {
+		if level == levels {
+			return nil
+		}
+		_, err := rs[level].Do(t.Context(), &retrier.Call[int]{Idempotent: true, Budget: budget, Try: func(_ context.Context, a *retrier.Attempt) (int, error) {
+			sends++
+			_ = call(level+1, a.Budget)
+			return 0, errUnknown
+		}})
+		return err
+	}
+	if err := call(0, 1); !errors.Is(err, errUnknown) {
+		t.Errorf("got %v, want %v", err, errUnknown)
+	}
+	if limit := levels * (levels + 3) / 2; sends > limit || sends <= levels {
+		t.Errorf("got %d sends, want more than %d and at most %d", sends, levels, limit)
+	}
+}
+
+// TestShare guards against retries that grow the load of a failing service.
+func TestShare(t *testing.T) {
+	for err, limit := range map[error]int{errUnknown: 1060, errRejected: 1210} {
+		var r retrier.Retrier[int]
+		sends := 0
+		for range 1000 {
+			_, _ = r.Do(t.Context(), &retrier.Call[int]{Idempotent: true, Budget: 5, Try: func(context.Context, *retrier.Attempt) (int, error) {
+				sends++
+				return 0, err
+			}})
+		}
+		if sends > limit || sends < 1040 {
+			t.Errorf("%v: got %d sends for 1000 calls, want 1040 to %d", err, sends, limit)
+		}
+	}
+}
+
+// TestHedge guards against a read that waits for a silent backend server, and
+// against a loser that goes on or whose answer leaks.
+func TestHedge(t *testing.T) {
+	var r retrier.Retrier[int]
+	cancelled, dropped := make(chan bool), make(chan int, 1)
+	silent := false
+	c := &retrier.Call[int]{Idempotent: true, Urgent: true, Hedge: true, Budget: 1, Drop: func(v int) { dropped <- v }}
+	c.Try = func(ctx context.Context, a *retrier.Attempt) (int, error) {
+		if silent && a.Number == 1 {
+			<-ctx.Done()
+			close(cancelled)
+		}
+		return a.Number, nil
+	}
+	for range 200 { // Latencies from which the delay is taken.
+		if _, err := r.Do(t.Context(), c); err != nil {
+			t.Fatal(err)
+		}
+	}
+	silent = true
+	if v, err := r.Do(t.Context(), c); v != 2 || err != nil {
+		t.Errorf("got attempt %d, %v, want 2", v, err)
+	}
+	<-cancelled
+	if got := <-dropped; got != 1 {
+		t.Errorf("got dropped answer of attempt %d, want 1", got)
+	}
+}
+
+// TestBody guards against a retried call with a part of its body.
+func TestBody(t *testing.T) {
+	b := &retrier.Body{Source: strings.NewReader(strings.Repeat("0123456789", 2000))}
+	first, _ := b.Next()
+	_, _ = io.ReadFull(first, make([]byte, 5000))
+	second, ok := b.Next()
+	text, err := io.ReadAll(second)
+	if !ok || err != nil || len(text) != 20000 || string(text[4995:5005]) != "5678901234" {
+		t.Errorf("got %d bytes, %v, want the whole body", len(text), err)
+	}
+	if _, err := first.Read(make([]byte, 1)); err == nil {
+		t.Error("got bytes from a replaced reader, want an error")
+	}
+	b = &retrier.Body{Source: strings.NewReader(strings.Repeat("0", retrier.MaxReplay+1))}
+	first, _ = b.Next()
+	if text, err := io.ReadAll(first); len(text) != retrier.MaxReplay+1 || err != nil {
+		t.Errorf("got %d bytes, %v, want all", len(text), err)
+	}
+	if _, ok := b.Next(); ok || b.Whole() {
+		t.Error("got another reader of a large body, want none")
+	}
+}
+
+// TestBodyWaiting guards against bytes that are lost to an attempt that has
+// ended but still waits for the caller.
+func TestBodyWaiting(t *testing.T) {
+	r, w := io.Pipe()
+	b := &retrier.Body{Source: r}
+	first, _ := b.Next()
+	began, ended := make(chan bool), make(chan bool)
+	go func() {
+		close(began)
+		_, _ = io.ReadAll(first)
+		close(ended)
+	}()
+	<-began
+	second, _ := b.Next()
+	go func() {
+		_, _ = io.WriteString(w, "whole")
+		_ = w.Close()
+	}()
+	if text, err := io.ReadAll(second); string(text) != "whole" || err != nil {
+		t.Errorf("got %q, %v, want whole", text, err)
+	}
+	<-ended
+}
