Join the filters of a call

Cause: the pipe sent each call once, released the slot with little of what the attempt showed, and held any number of body bytes.

Change: classify, dedupe, acquire, send with retries and hedges, answer, release. The slot is released when the answer body has ended or the attempt was cancelled, with latency to the header, failure, refusal, drain and load. Body bytes per service are bounded by queue.bytes. The callers' listener accepts 64 KiB of headers. Runner.Deduper joins the deduper.

--- a/internal/call/deduper/store.go
+++ b/internal/call/deduper/store.go
@@ -48,7 +48,7 @@
 
 // Begin calls decide with the state of the record for key while no other
 // attempt can change it. When decide returns Run, it makes a running record.
-func (s *Store) Begin(key string, print uint64, now time.Time, decide func(State, bool) Decision) (Decision, *Record) {
+func (s *Store) Begin(key string, mark uint64, now time.Time, decide func(State, bool) Decision) (Decision, *Record) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.expire(now)
@@ -57,7 +57,7 @@
 	if rec != nil {
 		state = rec.state
 	}
-	if rec != nil && rec.Print != print {
+	if rec != nil && rec.Print != mark {
 		// The identity belongs to another call; this one did not run.
 		return Decision{Verdict: Reject, Reason: "identity"}, nil
 	}
@@ -67,7 +67,7 @@
 		if s.records == nil {
 			s.records = make(map[string]*Record)
 		}
-		rec = &Record{Print: print, Done: make(chan struct{}), key: key, state: Running}
+		rec = &Record{Print: mark, Done: make(chan struct{}), key: key, state: Running}
 		s.records[key] = rec
 	}
 	return d, rec
--- /dev/null
+++ b/internal/instance/runner/attempt.go
@@ -0,0 +1,105 @@
+package runner
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"sardinelever.example/sardinelever/internal/call/answerer"
+	"sardinelever.example/sardinelever/internal/call/classifier"
+	"sardinelever.example/sardinelever/internal/call/retrier"
+	"sardinelever.example/sardinelever/internal/call/sender"
+	"sardinelever.example/sardinelever/internal/route/asker"
+)
+
+// attempts makes the attempts of one call.
+type attempts struct {
+	*pipe
+	w     http.ResponseWriter
+	r     *http.Request
+	call  *classifier.Call
+	body  *retrier.Body
+	hedge bool // Two attempts may run at a time.
+}
+
+// replay reports whether another attempt can send the same body. The trailers
+// of a call are read once, so a call that has them is not sent again.
+func (t *attempts) replay() bool { return t.body.Whole() && len(t.r.Trailer) == 0 }
+
+// try acquires a slot and sends the call once.
+func (t *attempts) try(ctx context.Context, a *retrier.Attempt) (*answer, error) {
+	c := t.call
+	need := asker.Need{Service: c.Service.Name, Rank: c.Rank, Deadline: c.Deadline, Avoid: a.Avoid()}
+	slot, err := t.asker.Acquire(ctx, need)
+	if err != nil {
+		return nil, err
+	}
+	a.Use(slot.Server)
+	body, ok := t.body.Next()
+	if !ok {
+		slot.Release(asker.Result{Busy: -1})
+		return nil, errors.New("the body cannot be sent again")
+	}
+	o := &sender.Order{
+		Call: c, Request: t.r, Body: body, Server: slot.Server, Attempt: c.Attempt + a.Number - 1,
+		Budget: a.Budget, Fresh: a.Number > 1, Inform: t.inform,
+	}
+	if t.hedge {
+		o.Inform = nil // Two attempts must not write to the caller at a time.
+	}
+	start := time.Now()
+	resp, err := t.sender.Send(ctx, o)
+	result := measure(resp, err, time.Since(start))
+	if err == nil {
+		return &answer{resp: resp, slot: slot, result: result}, nil
+	}
+	if resp != nil {
+		_ = resp.Body.Close()
+	}
+	slot.Release(result)
+	return nil, err
+}
+
+func (t *attempts) inform(status int, h http.Header) { answerer.Inform(t.w, status, h) }
+
+// answer is the answer of a backend server, whose slot is still occupied.
+type answer struct {
+	resp   *http.Response
+	slot   *asker.Slot
+	result asker.Result
+}
+
+func (a *answer) release() { a.slot.Release(a.result) }
+
+// drop cancels the call at the backend server by closing its connection.
+func (a *answer) drop() {
+	_ = a.resp.Body.Close()
+	a.release()
+}
+
+// measure returns what an attempt says about the backend server. The latency
+// ends with the header of the answer, as the body depends on the caller too.
+func measure(resp *http.Response, err error, latency time.Duration) asker.Result {
+	result := asker.Result{Latency: latency, Busy: -1}
+	var f *sender.Failure
+	if errors.As(err, &f) {
+		result.Refused = f.Reason == "refused"
+		// A cancelled attempt is no fault of the backend server, nor is a
+		// deadline that passed before anything was sent.
+		result.Failed = !result.Refused && f.Reason != "gone" && (f.Outcome == sender.Unknown || f.Reason == "connect")
+	}
+	if resp == nil {
+		return result
+	}
+	result.Failed = result.Failed || err == nil && resp.StatusCode >= http.StatusInternalServerError
+	result.Drain = resp.Header.Get("Sardine-Drain") == "1"
+	busy, _, _ := strings.Cut(resp.Header.Get("Sardine-Load"), "/")
+	if n, err := strconv.Atoi(busy); err == nil && n >= 0 {
+		result.Busy = n
+	}
+	return result
+}
--- a/internal/instance/runner/pipe.go
+++ b/internal/instance/runner/pipe.go
@@ -9,62 +9,143 @@
 
 	"sardinelever.example/sardinelever/internal/call/answerer"
 	"sardinelever.example/sardinelever/internal/call/classifier"
+	"sardinelever.example/sardinelever/internal/call/deduper"
+	"sardinelever.example/sardinelever/internal/call/retrier"
 	"sardinelever.example/sardinelever/internal/call/sender"
+	"sardinelever.example/sardinelever/internal/config/parser"
 	"sardinelever.example/sardinelever/internal/route/asker"
 	"sardinelever.example/sardinelever/internal/route/mapper"
 )
 
-// pipe moves a call through its filters.
+// acquirer grants slots; *asker.Asker is one.
+type acquirer interface {
+	Acquire(ctx context.Context, n asker.Need) (*asker.Slot, error)
+}
+
+// pipe moves a call through its filters: classify, dedupe, acquire, send,
+// answer, release.
 type pipe struct {
-	maps   *mapper.Holder
-	asker  *asker.Asker
-	sender sender.Sender
-	answer answerer.Answerer
+	maps    *mapper.Holder
+	asker   acquirer
+	deduper *deduper.Deduper // nil runs identified calls like those without an identity.
+	sender  sender.Sender
+	retrier retrier.Retrier[*answer]
+	answer  answerer.Answerer
+	bytes   sender.Bytes
 }
 
-// ServeHTTP classifies a call, acquires a slot, sends the call and answers.
+// identityPath answers with an issued identity.
+const identityPath = "/sardine/id"
+
+// ServeHTTP answers a call of a caller.
 func (p *pipe) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if p.deduper != nil && r.URL.Path == identityPath {
+		p.deduper.ServeHTTP(w, r)
+		return
+	}
+	p.classify(w, r, false)
+}
+
+// identify makes d decide about identified calls; its Run is called by the owner of d.
+func (p *pipe) identify(d *deduper.Deduper) {
+	d.Handler, d.Answerer = http.HandlerFunc(p.serveForwarded), &p.answer
+	p.deduper = d
+}
+
+// serveForwarded answers a call that another instance forwarded.
+func (p *pipe) serveForwarded(w http.ResponseWriter, r *http.Request) { p.classify(w, r, true) }
+
+func (p *pipe) classify(w http.ResponseWriter, r *http.Request, forwarded bool) {
 	c, err := classifier.Classify(p.maps.Load(), r, time.Now())
 	if err != nil {
-		status := http.StatusBadRequest
+		report := answerer.Report{Status: http.StatusBadRequest, Reason: "header", Detail: err.Error()}
 		if errors.Is(err, classifier.ErrService) {
-			status = http.StatusNotFound
+			report.Status, report.Reason = http.StatusNotFound, "service"
 		}
-		p.answer.Report(w, answerer.Report{Status: status, Reason: "header", Detail: err.Error()})
+		p.answer.Report(w, report)
+		return
+	}
+	// A forwarded call stays identified even when the configurations differ.
+	if p.deduper == nil || c.Identity == "" || c.Idempotent && !forwarded {
+		p.run(w, r, c)
 		return
 	}
+	p.deduper.Do(w, r, c, forwarded, func(w http.ResponseWriter, r *http.Request) (ran bool) { return p.run(w, r, c) })
+}
+
+// run sends the call, copies the answer or reports the outcome, and returns
+// whether the call may have run.
+func (p *pipe) run(w http.ResponseWriter, r *http.Request, c *classifier.Call) (ran bool) {
 	ctx, cancel := context.WithDeadline(r.Context(), c.Deadline)
 	defer cancel()
-	slot, err := p.asker.Acquire(ctx, asker.Need{Service: c.Service.Name, Rank: c.Rank, Deadline: c.Deadline})
+	free, ok := p.bytes.Take(c.Service.Name, c.Service.Queue.Bytes, bodyBytes(r))
+	if !ok {
+		p.answer.Report(w, answerer.Report{Status: http.StatusServiceUnavailable, Reason: "memory", After: time.Second})
+		return false
+	}
+	defer free()
+	if r.ContentLength != 0 {
+		prepare(w, c.Deadline)
+	}
+	a, err := p.retrier.Do(ctx, p.order(w, r, c))
 	if err != nil {
-		var f *asker.Refusal
-		if !errors.As(err, &f) {
-			f = &asker.Refusal{Reason: "late"}
-		}
-		p.answer.Report(w, answerer.Report{Status: http.StatusServiceUnavailable, Reason: f.Reason, After: f.After})
-		return
+		return p.report(ctx, w, err)
 	}
-	p.send(ctx, w, r, c, slot)
+	defer a.release()
+	p.answer.Copy(w, a.resp)
+	return true
 }
 
-func (p *pipe) send(ctx context.Context, w http.ResponseWriter, r *http.Request, c *classifier.Call, slot *asker.Slot) {
-	start := time.Now()
-	resp, err := p.sender.Send(ctx, &sender.Order{Call: c, Request: r, Body: r.Body, Server: slot.Server, Attempt: 1, Budget: c.Budget})
-	result := asker.Result{Failed: err != nil, Busy: -1}
-	defer func() {
-		result.Latency = time.Since(start)
-		slot.Release(result)
-	}()
-	if err == nil {
-		p.answer.Copy(w, resp)
-		return
-	}
-	if resp != nil {
-		_ = resp.Body.Close()
+func (p *pipe) order(w http.ResponseWriter, r *http.Request, c *classifier.Call) *retrier.Call[*answer] {
+	body := &retrier.Body{Source: r.Body}
+	hedge := c.Idempotent && r.ContentLength == 0
+	t := &attempts{pipe: p, w: w, r: r, call: c, body: body, hedge: hedge}
+	return &retrier.Call[*answer]{
+		Service: c.Service.Name, Idempotent: c.Idempotent, Urgent: c.Rank == parser.Urgent, Budget: c.Budget,
+		Replay: t.replay, Hedge: hedge, Try: t.try, Drop: (*answer).drop,
 	}
+}
+
+// report tells the caller why there is no answer and returns whether the call may have run.
+func (p *pipe) report(ctx context.Context, w http.ResponseWriter, err error) (ran bool) {
+	report := answerer.Report{Status: http.StatusServiceUnavailable, Reason: "late", After: time.Second}
 	var f *sender.Failure
-	if !errors.As(err, &f) {
-		f = &sender.Failure{Outcome: sender.Unknown, Reason: "read"}
+	var refusal *asker.Refusal
+	switch {
+	case errors.As(err, &f):
+		report.Outcome, report.Status, report.Reason = f.Outcome, f.Status(), f.Reason
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		report.Status, report.Reason = http.StatusGatewayTimeout, "deadline"
+	case errors.As(err, &refusal):
+		report.Reason, report.After = refusal.Reason, refusal.After
 	}
-	p.answer.Report(w, answerer.Report{Outcome: f.Outcome, Status: f.Status(), Reason: f.Reason, After: time.Second})
+	p.answer.Report(w, report)
+	return report.Outcome != sender.Rejected
 }
+
+// callBuffers is what a call with a body holds besides the body, in bytes: the
+// read and write buffers of both connections.
+const callBuffers = 16 << 10
+
+// bodyBytes returns how many bytes the body of r may occupy here at a time.
+func bodyBytes(r *http.Request) int64 {
+	switch {
+	case r.ContentLength == 0:
+		return 0
+	case r.ContentLength < 0 || r.ContentLength > retrier.MaxReplay:
+		return retrier.MaxReplay + callBuffers
+	default:
+		return r.ContentLength + callBuffers
+	}
+}
+
+// prepare lets an answer start before the body was read, and ends a wait for
+// the body soon after the deadline: http.ClientConn returns only then.
+func prepare(w http.ResponseWriter, deadline time.Time) {
+	c := http.NewResponseController(w)
+	_ = c.EnableFullDuplex()
+	_ = c.SetReadDeadline(deadline.Add(bodyGrace))
+}
+
+// bodyGrace lets the deadline itself pass first, so that it is the reason that is reported.
+const bodyGrace = 50 * time.Millisecond
--- a/internal/instance/runner/runner.go
+++ b/internal/instance/runner/runner.go
@@ -12,6 +12,8 @@
 	"github.com/pkg/errors"
 	"golang.org/x/sync/errgroup"
 
+	"sardinelever.example/sardinelever/internal/call/answerer"
+	"sardinelever.example/sardinelever/internal/call/deduper"
 	"sardinelever.example/sardinelever/internal/config/parser"
 	"sardinelever.example/sardinelever/internal/platform/reader"
 	"sardinelever.example/sardinelever/internal/route/asker"
@@ -21,7 +23,8 @@
 // Runner is an entry instance; Settings and Log are set before Run.
 type Runner struct {
 	Settings *parser.Settings
-	Log      *log.Logger // nil means log.DefaultLogger.
+	Log      *log.Logger      // nil means log.DefaultLogger.
+	Deduper  *deduper.Deduper // nil runs identified calls like those without an identity.
 
 	maps  mapper.Holder
 	ready atomic.Bool
@@ -57,7 +60,7 @@
 	defer stop()
 	g, work := errgroup.WithContext(work)
 	g.Go(r.bind(work, r.loop))
-	server := &http.Server{Handler: r.handler(), ReadHeaderTimeout: 5 * time.Second}
+	server := &http.Server{Handler: r.handler(), ReadHeaderTimeout: 5 * time.Second, MaxHeaderBytes: 64 << 10}
 	g.Go(r.serve(server, l))
 	operator, err := r.listenOperator(g)
 	if err != nil {
@@ -152,5 +155,9 @@
 }
 
 func (r *Runner) handler() http.Handler {
-	return &pipe{maps: &r.maps, asker: &asker.Asker{Map: &r.maps}}
+	p := &pipe{maps: &r.maps, asker: &asker.Asker{Map: &r.maps}, answer: answerer.Answerer{Instance: r.Settings.Name}}
+	if r.Deduper != nil {
+		p.identify(r.Deduper)
+	}
+	return p
 }
