Wire the parts into an instance

Cause: dispatch, fleet, configuration and at-most-once existed side by side. Change: the runner builds and joins them; status, explain and metrics show them. Before: one instance with local counts.

--- a/cmd/sardinelever/try.go
+++ b/cmd/sardinelever/try.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"io"
 	"net/http"
-	"net/netip"
 	"strings"
 	"time"
 
@@ -15,6 +14,8 @@
 
 	"sardinelever.example/sardinelever/internal/config/parser"
 	"sardinelever.example/sardinelever/internal/instance/runner"
+	"sardinelever.example/sardinelever/internal/platform/reader"
+	"sardinelever.example/sardinelever/internal/standin/launcher"
 	"sardinelever.example/sardinelever/internal/standin/stager"
 )
 
@@ -22,9 +23,13 @@
 	Calls int `default:"200" help:"Calls of each rank."`
 }
 
+// trialInstances is the number of instances of a trial, one in each zone.
+const trialInstances = 3
+
 // Run starts stand-ins and instances, sends calls of each rank and prints what became of them.
 func (c *tryCommand) Run(ctx context.Context) error {
-	s := &stager.Stager{Groups: []stager.Group{{Service: trialService(), Count: 4, Time: trialTime}}}
+	zones := []string{"a", "b", "c"}
+	s := &stager.Stager{Zones: zones, Groups: []stager.Group{{Service: trialService(), Count: 6, Time: trialTime}}}
 	if err := s.Start(); err != nil {
 		return err
 	}
@@ -32,18 +37,33 @@
 	ctx, stop := context.WithCancel(ctx)
 	defer stop()
 	g, ctx := errgroup.WithContext(ctx)
-	quiet := &log.Logger{Level: log.ErrorLevel, Writer: &log.IOWriter{Writer: io.Discard}}
-	instance := &runner.Runner{Log: quiet, Settings: &parser.Settings{
-		Name: "try-1", Zone: "a", Callers: netip.MustParseAddrPort("127.0.0.1:0"), Platform: s.URL,
-		Notice: parser.Duration(10 * time.Millisecond), Plain: true,
-	}}
-	t := &trial{instance: instance, calls: c.Calls}
-	g.Go(func() error { return instance.Run(ctx) })
+	t := &trial{calls: c.Calls}
+	for i := range trialInstances {
+		settings, err := trialSettings(i, zones[i], s.URL)
+		if err != nil {
+			return err
+		}
+		s.Entries = append(s.Entries, reader.Entry{Name: settings.Name, Address: settings.Callers, Peer: settings.Peers, Zone: settings.Zone, Region: "home"})
+		r := &runner.Runner{Log: quiet, Settings: settings}
+		t.instances = append(t.instances, r)
+		g.Go(func() error { return r.Run(ctx) })
+	}
+	s.Platform.SetList(s.Entries)
 	err := t.run(ctx)
 	stop()
 	return errors.Wrap(firstError(err, g.Wait()), "try")
 }
 
+var quiet = &log.Logger{Level: log.ErrorLevel, Writer: &log.IOWriter{Writer: io.Discard}}
+
+func trialSettings(i int, zone, platform string) (*parser.Settings, error) {
+	s := &parser.Settings{
+		Name: fmt.Sprintf("try-%d", i+1), Zone: zone, Platform: platform,
+		Notice: parser.Duration(10 * time.Millisecond), Plain: true,
+	}
+	return s, launcher.Reserve(s)
+}
+
 func firstError(errs ...error) error {
 	for _, err := range errs {
 		if err != nil {
@@ -66,18 +86,20 @@
 	}
 }
 
-// trial sends calls to an instance and counts the answers.
+// trial sends calls to the instances in turn and counts the answers.
 type trial struct {
-	instance *runner.Runner
-	calls    int
+	instances []*runner.Runner
+	calls     int
 }
 
 func (t *trial) run(ctx context.Context) error {
-	for !t.instance.Ready() {
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-time.After(5 * time.Millisecond):
+	for _, r := range t.instances {
+		for !r.Ready() {
+			select {
+			case <-ctx.Done():
+				return ctx.Err()
+			case <-time.After(5 * time.Millisecond):
+			}
 		}
 	}
 	for _, call := range []struct{ method, path string }{{"GET", "lookup"}, {"POST", "book"}, {"POST", "bulk"}} {
@@ -94,8 +116,8 @@
 }
 
 func (t *trial) send(ctx context.Context, method, path string) (served int, err error) {
-	url := fmt.Sprintf("http://%s/guidance/%s", t.instance.Address(), path)
-	for range t.calls {
+	for i := range t.calls {
+		url := fmt.Sprintf("http://%s/guidance/%s", t.instances[i%len(t.instances)].Address(), path)
 		req, err := http.NewRequestWithContext(ctx, method, url, strings.NewReader("order"))
 		if err != nil {
 			return served, err
--- a/internal/call/sender/pool.go
+++ b/internal/call/sender/pool.go
@@ -188,3 +188,10 @@
 	defer p.mu.Unlock()
 	return p.open == 0
 }
+
+func (p *pool) active(age time.Duration) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	n := len(p.idle)
+	return p.open > n || n > 0 && time.Since(p.idle[n-1].used) <= age
+}
--- a/internal/call/sender/sender.go
+++ b/internal/call/sender/sender.go
@@ -115,6 +115,15 @@
 	return p
 }
 
+// Active reports whether an exchange with server runs now or ended within age,
+// so that its state is known without a probe.
+func (s *Sender) Active(server netip.AddrPort, age time.Duration) bool {
+	s.mu.Lock()
+	p := s.pools[server]
+	s.mu.Unlock()
+	return p != nil && p.active(age)
+}
+
 // Keep forgets backend servers that are not among servers and have no
 // connection left, and closes the idle connections to them.
 func (s *Sender) Keep(servers map[netip.AddrPort]bool) {
--- a/internal/instance/runner/attempt.go
+++ b/internal/instance/runner/attempt.go
@@ -34,10 +34,12 @@
 func (t *attempts) try(ctx context.Context, a *retrier.Attempt) (*answer, error) {
 	c := t.call
 	need := asker.Need{Service: c.Service.Name, Rank: c.Rank, Deadline: c.Deadline, Avoid: a.Avoid()}
+	asked := time.Now()
 	slot, err := t.asker.Acquire(ctx, need)
 	if err != nil {
 		return nil, err
 	}
+	t.attempted(a.Number, time.Since(asked))
 	a.Use(slot.Server)
 	body, ok := t.body.Next()
 	if !ok {
@@ -64,6 +66,19 @@
 	return nil, err
 }
 
+// attempted counts an attempt that waited for its slot.
+func (t *attempts) attempted(number int, wait time.Duration) {
+	if t.meter == nil {
+		return
+	}
+	kind := "first"
+	if number > 1 {
+		kind = "again"
+	}
+	t.meter.Attempts.WithLabelValues(t.call.Service.Name, kind).Inc()
+	t.meter.Wait.WithLabelValues(t.call.Service.Name, t.call.Rank.String()).Observe(wait.Seconds())
+}
+
 func (t *attempts) inform(status int, h http.Header) { answerer.Inform(t.w, status, h) }
 
 // answer is the answer of a backend server, whose slot is still occupied.
--- /dev/null
+++ b/internal/instance/runner/join.go
@@ -0,0 +1,184 @@
+package runner
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"slices"
+	"time"
+
+	"sardinelever.example/sardinelever/internal/fleet/linker"
+	"sardinelever.example/sardinelever/internal/fleet/messenger"
+	"sardinelever.example/sardinelever/internal/fleet/placer"
+	"sardinelever.example/sardinelever/internal/fleet/registrar"
+	"sardinelever.example/sardinelever/internal/fleet/spreader"
+	"sardinelever.example/sardinelever/internal/operator/auditor"
+	"sardinelever.example/sardinelever/internal/platform/reader"
+	"sardinelever.example/sardinelever/internal/route/granter"
+	"sardinelever.example/sardinelever/internal/route/prober"
+	"sardinelever.example/sardinelever/internal/route/tracker"
+)
+
+// readers is the number of instances of a zone that watch the configuration service.
+const readers = 2
+
+// watches reports whether this instance watches the configuration service: it
+// is among the first of its zone in rendezvous order, or the list names no
+// instance there.
+func (p *parts) watches() bool {
+	var names []string
+	for _, m := range p.members.Members() {
+		if m.Listed && m.Zone == p.settings.Zone && m.State != registrar.Leaving && m.State != registrar.Gone {
+			names = append(names, m.Name)
+		}
+	}
+	order := placer.Order("configuration", names)
+	return len(order) == 0 || slices.Contains(order[:min(readers, len(order))], p.settings.Name)
+}
+
+// silent reports whether a lost entry of the list is not heard either.
+func (p *parts) silent(e reader.Entry) bool {
+	if e.Service != "" {
+		return false
+	}
+	for _, m := range p.members.Members() {
+		if m.Name == e.Name {
+			return m.State == registrar.Suspect || m.State == registrar.Gone
+		}
+	}
+	return true
+}
+
+// instances returns the size of the fleet.
+func (p *parts) instances() int { return max(len(p.members.Believed().Names), 1) }
+
+// current returns version and sections of the bundle in force.
+func (p *parts) current() (spreader.Version, [][]byte) {
+	v, sections := p.keeper.Sections()
+	return spreader.Version{Number: v.Number, Sum: v.Sum}, sections
+}
+
+func (p *parts) serveGrants(from linker.Hello, conn net.Conn) { p.granter.Serve(from.Name, conn) }
+
+func (p *parts) serveCalls(_ linker.Hello, conn net.Conn) { p.deduper.Serve(conn) }
+
+// resume drops what a pause of the process made stale.
+func (p *parts) resume(gap time.Duration) {
+	p.audit.Note(auditor.Change{
+		Part: "instance", Subject: p.settings.Name, Cause: "process was paused", Before: gap.String(), After: "stale figures dropped",
+	})
+	p.granter.Resume()
+}
+
+// probeView returns the targets of probes and the instances that share them.
+func (p *parts) probeView() prober.View {
+	b, _ := p.keeper.Current()
+	return prober.Join(p.lists.List(), b)
+}
+
+// probeAge is the age of a result that makes a probe needless.
+const probeAge = time.Second
+
+// idle reports that this instance has no recent result of a backend server.
+func (p *parts) idle(_ string, server netip.AddrPort) bool {
+	return !p.pipe.sender.Active(server, probeAge)
+}
+
+// report hands a probe result to the home of the backend server's pool.
+func (p *parts) report(f prober.Figure) {
+	s := p.maps.Load().Services[f.Service]
+	if s == nil {
+		return
+	}
+	p.granter.Observe(f.Service, f.Server, figure(f))
+	for i := range s.Servers {
+		if s.Servers[i].Address == f.Server {
+			k := granter.KeyOf(s, &s.Servers[i])
+			p.tell(k, s.Servers[i].Region, f)
+			return
+		}
+	}
+}
+
+func figure(f prober.Figure) tracker.Figure {
+	return tracker.Figure{
+		Result: tracker.Result{Failed: f.Failed, Drain: f.Drain, Latency: f.Latency, Busy: f.Busy},
+		Age:    f.Age,
+	}
+}
+
+// figureTimeout bounds the delivery of one probe result; a later one replaces it.
+const figureTimeout = time.Second
+
+// tell sends a probe result to the home of pool k, unless that is this instance.
+func (p *parts) tell(k granter.Key, region string, f prober.Figure) {
+	members := p.members.Usable(k.Zone, region)
+	names := make([]string, len(members))
+	for i := range members {
+		names[i] = members[i].Name
+	}
+	home := placer.First(k.String(), names)
+	i := slices.Index(names, home)
+	if i < 0 || home == p.settings.Name {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), figureTimeout)
+	defer cancel()
+	conn, err := p.linker.Open(ctx, members[i].Peer, linker.Control)
+	if err != nil {
+		return // The home will be told by the next probe.
+	}
+	defer func() { _ = conn.Close() }()
+	server, err := f.Server.MarshalBinary()
+	if err != nil {
+		return
+	}
+	_ = messenger.Write(conn, &messenger.Control{Kind: &messenger.Control_Figures{Figures: &messenger.Figures{
+		Figures: []*messenger.Figure{{
+			Service: f.Service, Server: server, Age: f.Age.Nanoseconds(), Latency: f.Latency.Nanoseconds(),
+			Busy: int32(f.Busy), Failed: f.Failed, Drain: f.Drain,
+		}},
+	}}})
+}
+
+// figures receives the probe results of other instances.
+type figures struct{ *parts }
+
+// Receive takes in the results of a message of kind Figures.
+func (r figures) Receive(_ linker.Hello, m *messenger.Control, _ func(*messenger.Control) error) {
+	for _, f := range m.GetFigures().GetFigures() {
+		var server netip.AddrPort
+		if err := server.UnmarshalBinary(f.Server); err != nil {
+			continue
+		}
+		r.granter.Observe(f.Service, server, tracker.Figure{
+			Result: tracker.Result{Failed: f.Failed, Drain: f.Drain, Latency: time.Duration(f.Latency), Busy: int(f.Busy)},
+			Age:    max(time.Duration(f.Age), 0),
+		})
+	}
+}
+
+// fleet is what the rule of identified calls knows of the other instances.
+type fleet struct{ *parts }
+
+// Place returns the place of key by the believed list.
+func (f fleet) Place(key string) (name string, since, read time.Time) {
+	r := f.members.Believed()
+	name, since = r.Place(key)
+	return name, since, r.Read
+}
+
+// Peer returns the listener of an instance for other instances.
+func (f fleet) Peer(name string) (netip.AddrPort, bool) {
+	for _, m := range f.members.Members() {
+		if m.Name == name {
+			return m.Peer, true
+		}
+	}
+	return netip.AddrPort{}, false
+}
+
+// Open opens a stream to another instance.
+func (f fleet) Open(ctx context.Context, peer netip.AddrPort, k linker.Kind) (net.Conn, error) {
+	return f.linker.Open(ctx, peer, k)
+}
--- /dev/null
+++ b/internal/instance/runner/parts.go
@@ -0,0 +1,201 @@
+package runner
+
+import (
+	"context"
+	"net/netip"
+	"time"
+
+	"github.com/phuslu/log"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"sardinelever.example/sardinelever/internal/call/deduper"
+	"sardinelever.example/sardinelever/internal/config/bundler"
+	"sardinelever.example/sardinelever/internal/config/keeper"
+	"sardinelever.example/sardinelever/internal/config/parser"
+	"sardinelever.example/sardinelever/internal/fleet/linker"
+	"sardinelever.example/sardinelever/internal/fleet/registrar"
+	"sardinelever.example/sardinelever/internal/fleet/spreader"
+	"sardinelever.example/sardinelever/internal/instance/detector"
+	"sardinelever.example/sardinelever/internal/operator/auditor"
+	"sardinelever.example/sardinelever/internal/operator/meter"
+	"sardinelever.example/sardinelever/internal/platform/reader"
+	"sardinelever.example/sardinelever/internal/route/asker"
+	"sardinelever.example/sardinelever/internal/route/granter"
+	"sardinelever.example/sardinelever/internal/route/mapper"
+	"sardinelever.example/sardinelever/internal/route/prober"
+)
+
+// parts are the parts of an instance; build sets how they are joined.
+type parts struct {
+	settings    *parser.Settings
+	log         *log.Logger
+	incarnation uint64
+	registry    *prometheus.Registry
+	meter       *meter.Meter
+
+	maps     mapper.Holder
+	audit    auditor.Auditor
+	keeper   keeper.Keeper
+	detector detector.Detector
+	lists    reader.ListFollower
+	configs  reader.ConfigFollower
+	linker   linker.Linker
+	members  registrar.Registrar
+	spreader spreader.Spreader
+	granter  granter.Granter
+	asker    asker.Asker
+	prober   prober.Prober
+	deduper  deduper.Deduper
+	pipe     pipe
+}
+
+// build joins the parts of an instance with settings s, in which every key has a value.
+func build(s *parser.Settings, l *log.Logger) *parts {
+	p := &parts{settings: s, log: l, incarnation: uint64(time.Now().UnixNano()), registry: prometheus.NewRegistry()}
+	p.meter = meter.Register(p.registry)
+	p.audit.Log = l
+	p.keeper.Audit = &p.audit
+	p.detector.Paused = p.resume
+	p.buildPlatform()
+	p.buildFleet()
+	p.buildRoute()
+	p.buildCall()
+	return p
+}
+
+func (p *parts) buildPlatform() {
+	c := &reader.Client{Base: p.settings.Platform}
+	p.lists = reader.ListFollower{Client: c, Silent: p.silent, Audit: &p.audit, Log: p.log}
+	p.configs = reader.ConfigFollower{Client: c, Keeper: &p.keeper, Reader: p.watches, Heard: p.spreader.Heard, Log: p.log}
+}
+
+func (p *parts) buildFleet() {
+	s := p.settings
+	p.linker = linker.Linker{
+		Name: s.Name, Incarnation: p.incarnation, Zone: s.Zone, Region: s.Region, Listen: s.Peers,
+		TLS: s.TLS, Plain: s.Plain, Audit: &p.audit, Lost: p.members.Lost,
+		Handlers: map[linker.Kind]linker.Handler{
+			linker.Control: &p.members,
+			linker.Grant:   linker.HandlerFunc(p.serveGrants),
+			linker.Call:    linker.HandlerFunc(p.serveCalls),
+		},
+	}
+	p.members = registrar.Registrar{
+		Name: s.Name, Incarnation: p.incarnation, Zone: s.Zone, Region: s.Region, Peer: s.Peers,
+		Links: &p.linker, Audit: &p.audit, Receivers: []registrar.Receiver{&p.spreader, figures{p}},
+	}
+	for _, k := range kinds {
+		meter.Link(p.registry, k.String(), func() (in, out uint64) {
+			n := p.linker.Counts().Kinds[k]
+			return n.In, n.Out
+		})
+	}
+	p.spreader = spreader.Spreader{
+		Keeper: &p.keeper, Current: p.current, Fleet: &p.members, Links: &p.linker, Changes: p.keeper.Changes(), Audit: &p.audit,
+		Sections: spreader.Sections{Sums: bundler.Sums, Missing: bundler.Missing, Assemble: bundler.Assemble},
+	}
+}
+
+var kinds = []linker.Kind{linker.Control, linker.Grant, linker.Call}
+
+func (p *parts) buildRoute() {
+	s := p.settings
+	p.granter = granter.Granter{Map: &p.maps, Audit: &p.audit}
+	p.asker = asker.Asker{
+		Map: &p.maps, Name: s.Name, Zone: s.Zone, Region: s.Region,
+		Granter: &p.granter, Fleet: &p.members, Links: &p.linker, Policy: policies[s.Policy],
+	}
+	p.prober = prober.Prober{Name: s.Name, View: p.probeView, Idle: p.idle, Report: p.report, Log: p.log}
+}
+
+// policies are the values of the setting policy; the empty one asks homes.
+var policies = map[string]asker.Policy{
+	"": asker.Dispatch, "grant": asker.Dispatch, "random": asker.Random, "round": asker.RoundRobin, "least": asker.LeastOutstanding,
+}
+
+func (p *parts) buildCall() {
+	p.pipe.maps, p.pipe.asker, p.pipe.meter, p.pipe.check = &p.maps, &p.asker, p.meter, p.detector.Check
+	p.pipe.answer.Instance = p.settings.Name
+	p.pipe.sender.Instances = p.instances
+	p.deduper = deduper.Deduper{
+		Name: p.settings.Name, Peer: p.settings.Peers, Incarnation: p.incarnation, Fleet: fleet{p},
+		Rules: deduper.Rules{Margin: p.settings.Margin.Std()},
+	}
+	p.pipe.identify(&p.deduper)
+}
+
+// duties returns what runs for the whole life of the instance.
+func (p *parts) duties() []func(context.Context) error {
+	return []func(context.Context) error{
+		p.detector.Run, p.lists.Run, p.configs.Run, p.linker.Run, p.members.Run, p.spreader.Run,
+		p.granter.Run, p.asker.Run, p.prober.Run, p.deduper.Run, p.loop,
+	}
+}
+
+// mapPeriod bounds the time after which a new list takes effect.
+const mapPeriod = 50 * time.Millisecond
+
+// loop keeps the map of services and backend servers up to date.
+func (p *parts) loop(ctx context.Context) error {
+	changes := p.keeper.Changes()
+	t := time.NewTicker(mapPeriod)
+	defer t.Stop()
+	var list *reader.List
+	var read time.Time
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-changes:
+			p.remap()
+		case <-t.C:
+		}
+		l, at := p.lists.List(), p.lists.Read()
+		if l == nil || l == list && at.Equal(read) {
+			continue
+		}
+		p.members.SetList(l, at)
+		if l != list {
+			p.remap()
+		}
+		list, read = l, at
+	}
+}
+
+func (p *parts) remap() {
+	b, _ := p.keeper.Current()
+	m := mapper.Join(b, p.lists.List())
+	p.maps.Store(m)
+	servers := make(map[netip.AddrPort]bool)
+	for _, s := range m.Services {
+		for i := range s.Servers {
+			servers[s.Servers[i].Address] = true
+		}
+	}
+	p.pipe.sender.Keep(servers)
+}
+
+// await returns when there is a bundle and the peers were asked for theirs, or
+// ctx is done.
+func (p *parts) await(ctx context.Context) {
+	if !until(ctx, func() bool { return p.lists.List() != nil }) {
+		return
+	}
+	p.members.SetList(p.lists.List(), p.lists.Read())
+	p.spreader.AskPeers(ctx, peerWait)
+	until(ctx, func() bool { return p.maps.Load().Version > 0 })
+}
+
+// until waits for done and returns false when ctx ends first.
+func until(ctx context.Context, done func() bool) bool {
+	t := time.NewTicker(mapPeriod / 5)
+	defer t.Stop()
+	for !done() {
+		select {
+		case <-ctx.Done():
+			return false
+		case <-t.C:
+		}
+	}
+	return true
+}
--- a/internal/instance/runner/pipe.go
+++ b/internal/instance/runner/pipe.go
@@ -13,6 +13,7 @@
 	"sardinelever.example/sardinelever/internal/call/retrier"
 	"sardinelever.example/sardinelever/internal/call/sender"
 	"sardinelever.example/sardinelever/internal/config/parser"
+	"sardinelever.example/sardinelever/internal/operator/meter"
 	"sardinelever.example/sardinelever/internal/route/asker"
 	"sardinelever.example/sardinelever/internal/route/mapper"
 )
@@ -32,6 +33,8 @@
 	retrier retrier.Retrier[*answer]
 	answer  answerer.Answerer
 	bytes   sender.Bytes
+	meter   *meter.Meter // nil counts nothing.
+	check   func()       // Called before the decisions of a call; notices a pause of the process.
 }
 
 // identityPath answers with an issued identity.
@@ -43,6 +46,9 @@
 		p.deduper.ServeHTTP(w, r)
 		return
 	}
+	if p.check != nil {
+		p.check()
+	}
 	p.classify(w, r, false)
 }
 
@@ -76,11 +82,13 @@
 // run sends the call, copies the answer or reports the outcome, and returns
 // whether the call may have run.
 func (p *pipe) run(w http.ResponseWriter, r *http.Request, c *classifier.Call) (ran bool) {
+	start := time.Now()
 	ctx, cancel := context.WithDeadline(r.Context(), c.Deadline)
 	defer cancel()
 	free, ok := p.bytes.Take(c.Service.Name, c.Service.Queue.Bytes, bodyBytes(r))
 	if !ok {
 		p.answer.Report(w, answerer.Report{Status: http.StatusServiceUnavailable, Reason: "memory", After: time.Second})
+		p.count(c, sender.Rejected.String(), start)
 		return false
 	}
 	defer free()
@@ -89,13 +97,26 @@
 	}
 	a, err := p.retrier.Do(ctx, p.order(w, r, c))
 	if err != nil {
-		return p.report(ctx, w, err)
+		o := p.report(ctx, w, err)
+		p.count(c, o.String(), start)
+		return o != sender.Rejected
 	}
 	defer a.release()
 	p.answer.Copy(w, a.resp)
+	p.count(c, "answered", start)
 	return true
 }
 
+// count updates the metrics of a call that was accepted at start.
+func (p *pipe) count(c *classifier.Call, outcome string, start time.Time) {
+	if p.meter == nil {
+		return
+	}
+	service, rank := c.Service.Name, c.Rank.String()
+	p.meter.Calls.WithLabelValues(service, rank, outcome).Inc()
+	p.meter.Latency.WithLabelValues(service, rank).Observe(time.Since(start).Seconds())
+}
+
 func (p *pipe) order(w http.ResponseWriter, r *http.Request, c *classifier.Call) *retrier.Call[*answer] {
 	body := &retrier.Body{Source: r.Body}
 	hedge := c.Idempotent && r.ContentLength == 0
@@ -106,8 +127,8 @@
 	}
 }
 
-// report tells the caller why there is no answer and returns whether the call may have run.
-func (p *pipe) report(ctx context.Context, w http.ResponseWriter, err error) (ran bool) {
+// report tells the caller why there is no answer and returns the outcome.
+func (p *pipe) report(ctx context.Context, w http.ResponseWriter, err error) sender.Outcome {
 	report := answerer.Report{Status: http.StatusServiceUnavailable, Reason: "late", After: time.Second}
 	var f *sender.Failure
 	var refusal *asker.Refusal
@@ -120,7 +141,7 @@
 		report.Reason, report.After = refusal.Reason, refusal.After
 	}
 	p.answer.Report(w, report)
-	return report.Outcome != sender.Rejected
+	return report.Outcome
 }
 
 // callBuffers is what a call with a body holds besides the body, in bytes: the
--- a/internal/instance/runner/runner.go
+++ b/internal/instance/runner/runner.go
@@ -12,26 +12,30 @@
 	"github.com/pkg/errors"
 	"golang.org/x/sync/errgroup"
 
-	"sardinelever.example/sardinelever/internal/call/answerer"
-	"sardinelever.example/sardinelever/internal/call/deduper"
 	"sardinelever.example/sardinelever/internal/config/parser"
-	"sardinelever.example/sardinelever/internal/platform/reader"
-	"sardinelever.example/sardinelever/internal/route/asker"
-	"sardinelever.example/sardinelever/internal/route/mapper"
 )
 
 // Runner is an entry instance; Settings and Log are set before Run.
 type Runner struct {
 	Settings *parser.Settings
-	Log      *log.Logger      // nil means log.DefaultLogger.
-	Deduper  *deduper.Deduper // nil runs identified calls like those without an identity.
+	Log      *log.Logger // nil means log.DefaultLogger.
 
-	maps  mapper.Holder
 	ready atomic.Bool
 	addr  atomic.Pointer[netip.AddrPort]
 }
 
-const defaultNotice = 5 * time.Second
+const (
+	// headerTimeout bounds slow request headers of callers.
+	headerTimeout = 5 * time.Second
+	// maxHeader is the largest request header in bytes.
+	maxHeader = 64 << 10
+	// peerWait is how long a new instance waits for the configuration of its
+	// peers before it trusts the platform alone.
+	peerWait = 3 * time.Second
+)
+
+// ErrInstance reports that the instance could not start or stopped by a failure.
+var ErrInstance = errors.New("instance failed")
 
 // Ready reports whether the instance accepts new calls.
 func (r *Runner) Ready() bool { return r.ready.Load() }
@@ -45,119 +49,111 @@
 }
 
 // Run serves until ctx is done, then shuts down gracefully: readiness turns
-// false, the listener serves for the notice, calls in flight finish.
+// false, the listener serves for the notice, calls in flight finish. The error
+// wraps ErrInstance.
 func (r *Runner) Run(ctx context.Context) error {
 	if r.Log == nil {
 		r.Log = &log.DefaultLogger
 	}
-	l, err := net.Listen("tcp", r.Settings.Callers.String())
-	if err != nil {
-		return errors.Wrap(err, "callers' listener")
-	}
-	addr := l.Addr().(*net.TCPAddr).AddrPort()
-	r.addr.Store(&addr)
+	settings := r.Settings.WithDefaults()
 	work, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	g, work := errgroup.WithContext(work)
-	g.Go(r.bind(work, r.loop))
-	server := &http.Server{Handler: r.handler(), ReadHeaderTimeout: 5 * time.Second, MaxHeaderBytes: 64 << 10}
-	g.Go(r.serve(server, l))
-	operator, err := r.listenOperator(g)
+	p := build(&settings, r.Log)
+	servers, err := r.listen(p, g)
 	if err != nil {
-		stop()
-		return err
+		return wrap(err)
+	}
+	for _, duty := range p.duties() {
+		g.Go(bind(work, duty))
+	}
+	g.Go(r.bindStart(work, p))
+	select {
+	case <-ctx.Done():
+		r.shutdown(p, servers)
+	case <-work.Done():
 	}
-	defer func() { _ = operator.Close() }()
-	<-ctx.Done()
-	r.shutdown(server)
-	_ = operator.Close()
+	_ = servers.operator.Close()
 	stop()
-	return errors.Wrap(g.Wait(), "instance")
+	return wrap(g.Wait())
 }
 
-func (r *Runner) bind(ctx context.Context, loop func(context.Context) error) func() error {
-	return func() error { return loop(ctx) }
-}
-
-func (r *Runner) serve(s *http.Server, l net.Listener) func() error {
-	return func() error {
-		if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
-			return err
-		}
+func wrap(err error) error {
+	if err == nil {
 		return nil
 	}
+	return errors.Wrap(ErrInstance, err.Error())
 }
 
-// listenOperator opens the operators' listener, if the settings name one.
-func (r *Runner) listenOperator(g *errgroup.Group) (*http.Server, error) {
-	server := &http.Server{Handler: http.HandlerFunc(r.serveReady), ReadHeaderTimeout: 5 * time.Second}
-	if !r.Settings.Operator.IsValid() {
-		return server, nil
-	}
-	l, err := net.Listen("tcp", r.Settings.Operator.String())
+func bind(ctx context.Context, duty func(context.Context) error) func() error {
+	return func() error { return duty(ctx) }
+}
+
+// servers are the HTTP servers of an instance.
+type servers struct{ callers, operator *http.Server }
+
+// listen opens the listeners of callers, operators and other instances.
+func (r *Runner) listen(p *parts, g *errgroup.Group) (*servers, error) {
+	l, err := net.Listen("tcp", r.Settings.Callers.String())
 	if err != nil {
-		return nil, errors.Wrap(err, "operators' listener")
+		return nil, errors.Wrap(err, "callers' listener")
+	}
+	addr := l.Addr().(*net.TCPAddr).AddrPort()
+	r.addr.Store(&addr)
+	s := &servers{callers: newServer(&p.pipe), operator: newServer(p.reporter(r.Ready).Handler())}
+	if r.Settings.Operator.IsValid() {
+		o, err := net.Listen("tcp", r.Settings.Operator.String())
+		if err != nil {
+			_ = l.Close()
+			return nil, errors.Wrap(err, "operators' listener")
+		}
+		g.Go(serve(s.operator, o))
+	}
+	if err := p.linker.Bind(); err != nil {
+		_ = l.Close()
+		return nil, errors.Wrap(err, "peers' listener")
 	}
-	g.Go(r.serve(server, l))
-	return server, nil
+	g.Go(serve(s.callers, l))
+	return s, nil
 }
 
-func (r *Runner) serveReady(w http.ResponseWriter, _ *http.Request) {
-	if !r.Ready() {
-		w.WriteHeader(http.StatusServiceUnavailable)
-	}
+func newServer(h http.Handler) *http.Server {
+	s := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeader, Protocols: new(http.Protocols)}
+	s.Protocols.SetHTTP1(true)
+	s.Protocols.SetUnencryptedHTTP2(true)
+	return s
 }
 
-func (r *Runner) shutdown(s *http.Server) {
-	r.ready.Store(false)
-	notice := r.Settings.Notice.Std()
-	if notice == 0 {
-		notice = defaultNotice
+func serve(s *http.Server, l net.Listener) func() error {
+	return func() error {
+		if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+			return err
+		}
+		return nil
 	}
-	r.Log.Info().Dur("notice", notice).Msg("instance: stops; listener serves for the notice")
-	time.Sleep(notice)
-	// No timeout: calls in flight finish within their own deadlines.
-	_ = s.Shutdown(context.Background())
-	r.Log.Info().Msg("instance: stopped")
 }
 
-// loop follows the platform and stores what it says as the current map.
-func (r *Runner) loop(ctx context.Context) error {
-	c := &reader.Client{Base: r.Settings.Platform}
-	var bundle *parser.Bundle
-	var revision uint64
-	for ctx.Err() == nil {
-		list, err := c.List(ctx)
-		if err == nil {
-			r.maps.Store(mapper.Join(bundle, list))
-		}
-		v, err := c.Config(ctx, revision, time.Second)
-		if err != nil {
-			r.Log.Warn().Err(err).Msg("platform: cannot be read")
-			time.Sleep(time.Second)
-			continue
-		}
-		if v == nil {
-			continue
-		}
-		revision = v.Revision
-		b, err := parser.ParseBundle("bundle", v.Text)
-		if err != nil {
-			r.Log.Error().Err(err).Msg("config: bundle refused")
-			continue
+// bindStart makes the instance ready once it has a bundle and has heard its peers.
+func (r *Runner) bindStart(ctx context.Context, p *parts) func() error {
+	return func() error {
+		p.await(ctx)
+		if ctx.Err() != nil {
+			return nil
 		}
-		bundle = b
-		r.maps.Store(mapper.Join(bundle, list))
+		p.members.SetReady(true)
 		r.ready.Store(true)
-		r.Log.Info().Uint64("version", b.Version).Msg("config: in force")
+		r.Log.Info().Stringer("callers", r.Address()).Msg("instance: ready")
+		return nil
 	}
-	return nil
 }
 
-func (r *Runner) handler() http.Handler {
-	p := &pipe{maps: &r.maps, asker: &asker.Asker{Map: &r.maps}, answer: answerer.Answerer{Instance: r.Settings.Name}}
-	if r.Deduper != nil {
-		p.identify(r.Deduper)
-	}
-	return p
+func (r *Runner) shutdown(p *parts, s *servers) {
+	r.ready.Store(false)
+	p.members.Leave()
+	notice := r.Settings.WithDefaults().Notice.Std()
+	r.Log.Info().Dur("notice", notice).Msg("instance: stops; the listener serves for the notice")
+	time.Sleep(notice)
+	// No timeout: calls in flight finish within their own deadlines.
+	_ = s.callers.Shutdown(context.Background())
+	r.Log.Info().Msg("instance: stopped")
 }
--- a/internal/operator/meter/meter.go
+++ b/internal/operator/meter/meter.go
@@ -10,21 +10,21 @@
 type Meter struct {
 	Calls    *prometheus.CounterVec   // By service, rank and outcome.
 	Latency  *prometheus.HistogramVec // Seconds from accept to the end of the answer, by service and rank.
-	Attempts *prometheus.CounterVec   // Sends to backend servers, by service and kind: first, retry, hedge.
-	Wait     *prometheus.HistogramVec // Seconds that a call waited for a slot, by service and rank.
+	Attempts *prometheus.CounterVec   // Sends to backend servers, by service and kind: first, again.
+	Wait     *prometheus.HistogramVec // Seconds that an attempt waited for a slot, by service and rank.
 }
 
 // Register creates the metrics in r, with those of the process and the Go runtime.
 func Register(r *prometheus.Registry) *Meter {
 	m := &Meter{
 		Calls: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Name: "sardinelever_calls_total", Help: "Calls answered, by outcome: served, rejected, unknown, failed.",
+			Name: "sardinelever_calls_total", Help: "Calls, by outcome: answered, rejected, unknown, failed.",
 		}, []string{"service", "rank", "outcome"}),
 		Latency: histogram("sardinelever_call_seconds", "Time from accept to the end of the answer."),
 		Attempts: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Name: "sardinelever_attempts_total", Help: "Sends to backend servers, by kind: first, retry, hedge.",
+			Name: "sardinelever_attempts_total", Help: "Sends to backend servers, by kind: first, or again for a retry or hedge.",
 		}, []string{"service", "kind"}),
-		Wait: histogram("sardinelever_wait_seconds", "Time that a call waited for a slot."),
+		Wait: histogram("sardinelever_wait_seconds", "Time that an attempt waited for a slot."),
 	}
 	r.MustRegister(m.Calls, m.Latency, m.Attempts, m.Wait,
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
@@ -36,3 +36,18 @@
 		Name: name, Help: help, Buckets: prometheus.ExponentialBuckets(0.00025, 2, 18),
 	}, []string{"service", "rank"})
 }
+
+// Link registers the byte counts of links between instances: load returns the
+// bytes that came in and went out so far for one kind of stream.
+func Link(r *prometheus.Registry, kind string, load func() (in, out uint64)) {
+	for i, direction := range []string{"in", "out"} {
+		c := prometheus.CounterOpts{
+			Name: "sardinelever_link_bytes_total", Help: "Bytes on links to other instances, by kind of stream and direction.",
+			ConstLabels: prometheus.Labels{"kind": kind, "direction": direction},
+		}
+		r.MustRegister(prometheus.NewCounterFunc(c, func() float64 {
+			in, out := load()
+			return float64([...]uint64{in, out}[i])
+		}))
+	}
+}
--- a/internal/route/asker/home.go
+++ b/internal/route/asker/home.go
@@ -93,8 +93,17 @@
 // next returns the first home of p in rendezvous order that is not in tried; at
 // the end this is the own instance.
 func (a *Asker) next(p pool, tried []string) (string, home) {
+	name, m := a.home(p, tried)
+	if m == nil {
+		return name, &a.local
+	}
+	return name, a.link(*m)
+}
+
+// home is next without the stream; the member is nil for the own instance.
+func (a *Asker) home(p pool, tried []string) (string, *registrar.Member) {
 	if a.Fleet == nil || a.Links == nil {
-		return a.Name, &a.local
+		return a.Name, nil
 	}
 	members := a.Fleet.Usable(p.key.Zone, p.region)
 	if len(members) == 0 {
@@ -108,10 +117,10 @@
 	}
 	first := placer.First(p.key.String(), names)
 	if first == "" || first == a.Name {
-		return a.Name, &a.local
+		return a.Name, nil
 	}
 	i := slices.IndexFunc(members, func(m registrar.Member) bool { return m.Name == first })
-	return first, a.link(members[i])
+	return first, &members[i]
 }
 
 // link returns the grant stream to m and opens it when there is none.
@@ -179,3 +188,20 @@
 		a.placed(p, name, h)
 	}
 }
+
+// Placed is a pool and the home that would be asked for it.
+type Placed struct{ Pool, Name string }
+
+// Homes returns the pools of a service in the order in which a call asks them.
+func (a *Asker) Homes(service string) []Placed {
+	first, others, ok := a.groups(service).candidates()
+	if !ok {
+		return nil
+	}
+	var out []Placed
+	for _, p := range append([]pool{first}, others...) {
+		name, _ := a.home(p, nil)
+		out = append(out, Placed{p.key.String(), name})
+	}
+	return out
+}
--- a/internal/route/granter/key.go
+++ b/internal/route/granter/key.go
@@ -59,3 +59,14 @@
 	}
 	return shard
 }
+
+// KeyOf returns the pool of backend server b of s.
+func KeyOf(s *mapper.Service, b *mapper.BackendServer) Key {
+	n := 0
+	for i := range s.Servers {
+		if s.Servers[i].Zone == b.Zone {
+			n++
+		}
+	}
+	return Key{Service: s.Name, Zone: b.Zone, Shard: Shard(b.Address, Shards(n))}
+}
