Publish homes by zone and refuse oversized control messages

Cause: Usable copied all members on each call; a pause that only the wall clock shows did not end the continuity of a place; tests of a pause and of an oversized control message were missing.

--- a/internal/fleet/registrar/beat.go
+++ b/internal/fleet/registrar/beat.go
@@ -7,7 +7,6 @@
 	"net"
 	"time"
 
-	"github.com/phuslu/log"
 	"github.com/pkg/errors"
 
 	"sardinelever.example/sardinelever/internal/fleet/linker"
@@ -201,7 +200,9 @@
 		m := new(messenger.Control)
 		if err := messenger.ReadLimit(in, m, maxIn); err != nil {
 			if errors.Is(err, messenger.ErrFrame) {
-				log.Warn().Str("instance", from.Name).Err(err).Msg("fleet: control stream refused")
+				r.Audit.Note(auditor.Change{
+					Part: "fleet", Subject: "instance " + from.Name, Cause: err.Error(), Before: "control stream open", After: "refused",
+				})
 			}
 			return
 		}
--- a/internal/fleet/registrar/fleet_test.go
+++ b/internal/fleet/registrar/fleet_test.go
@@ -2,11 +2,15 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
+	"io"
+	"net"
 	"net/netip"
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -38,13 +42,16 @@
 }
 
 // launchOn is launch with the links behind g, if any.
-func launchOn(t testing.TB, name string, inc uint64, listen netip.AddrPort, period time.Duration, g *gate) *instance {
+func launchOn(t testing.TB, name string, inc uint64, listen netip.AddrPort, period time.Duration, g *gate, change ...func(*registrar.Registrar)) *instance {
 	t.Helper()
 	r := &registrar.Registrar{Name: name, Incarnation: inc, Zone: "z", Region: "home", Audit: &auditor.Auditor{}}
 	if period != 0 {
 		r.Period, r.Step, r.Recheck = period, period/4, 5*period
 		r.Limits = registrar.Limits{Silence: 4 * period, Gone: 20 * period, Linger: 60 * period, Avoid: period}
 	}
+	for _, f := range change {
+		f(r)
+	}
 	l := &linker.Linker{
 		Name: name, Incarnation: inc, Zone: "z", Region: "home", Listen: listen, Plain: true,
 		Handlers: map[linker.Kind]linker.Handler{linker.Control: r}, Lost: r.Lost,
@@ -192,6 +199,54 @@
 	}
 }
 
+// TestOversized guards against an oversized control message that takes memory
+// or breaks the other streams of the session.
+func TestOversized(t *testing.T) {
+	all := fleet(t, 2, 20*time.Millisecond)
+	c, err := all[0].linker.Open(t.Context(), all[1].Peer, linker.Control)
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = c.SetDeadline(time.Now().Add(limit))
+	if err := messenger.Write(c, &messenger.Control{Kind: &messenger.Control_Sections{Sections: &messenger.Sections{
+		Texts: [][]byte{make([]byte, 100<<10)},
+	}}}); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := c.Read(make([]byte, 1)); !errors.Is(err, io.EOF) {
+		t.Errorf("got %v, want the end of the stream", err)
+	}
+	if !slices.ContainsFunc(all[1].Audit.Changes(), func(c auditor.Change) bool { return c.After == "refused" }) {
+		t.Error("refused message is not in the audit trail")
+	}
+	in := func() uint64 { return all[1].linker.Counts().Kinds[linker.Control].In }
+	seen := in()
+	eventually(t, "another heartbeat", func() bool { return in() > seen })
+}
+
+// TestPaused guards against a process that suspects all others after it slept,
+// and against a pause that goes unnoticed.
+func TestPaused(t *testing.T) {
+	others := fleet(t, 3, 20*time.Millisecond)
+	var slept atomic.Int64
+	gaps := make(chan time.Duration, 16)
+	g := &gate{conns: make(map[net.Conn]netip.AddrPort)}
+	x := launchOn(t, "sleeper", 1, anyPort, 20*time.Millisecond, g, func(r *registrar.Registrar) {
+		r.Clock = func() time.Time { return time.Now().Add(time.Duration(slept.Load())) }
+		r.OnPause = []func(time.Duration){func(d time.Duration) { gaps <- d }}
+	})
+	all := append(others, x)
+	share(all, nil)
+	eventually(t, "heartbeats", func() bool { return find(x, "i0").Incarnation > 0 })
+	slept.Store(int64(time.Hour))
+	if got := <-gaps; got < time.Hour {
+		t.Errorf("got a pause of %v, want at least an hour", got)
+	}
+	for _, o := range all {
+		everywhere(t, []*instance{x}, o.Name, registrar.Alive)
+	}
+}
+
 // BenchmarkFleet measures the traffic of each instance with the default times.
 func BenchmarkFleet(b *testing.B) {
 	const window = 10 * time.Second
@@ -224,3 +279,22 @@
 		})
 	}
 }
+
+// BenchmarkDeath measures the time, with the default times, from the end of a
+// process until no other instance shows it as alive.
+func BenchmarkDeath(b *testing.B) {
+	for _, n := range []int{16, 32} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			all := fleet(b, n, 0)
+			eventually(b, "heartbeats", func() bool {
+				return !slices.ContainsFunc(all, func(x *instance) bool { return len(x.linker.Counts().Sessions) < registrar.MaxNeighbours })
+			})
+			for b.Loop() {
+				dead := all[0]
+				all = all[1:]
+				dead.stop()
+				everywhere(b, all, dead.Name, registrar.Suspect, registrar.Gone)
+			}
+		})
+	}
+}
--- a/internal/fleet/registrar/registrar.go
+++ b/internal/fleet/registrar/registrar.go
@@ -67,8 +67,8 @@
 	senders  map[string]*sender
 	tasks    sync.WaitGroup
 
-	members atomic.Pointer[[]Member]
-	roster  atomic.Pointer[Roster]
+	view   atomic.Pointer[view]
+	roster atomic.Pointer[Roster]
 }
 
 func (r *Registrar) init() {
@@ -110,16 +110,41 @@
 
 // snapshot publishes the members. The caller holds r.mu.
 func (r *Registrar) snapshot(now time.Time) {
-	m := r.table.Members(now)
-	r.members.Store(&m)
+	v := &view{members: r.table.Members(now), zones: make(map[place][]Member)}
+	for _, m := range v.members {
+		if m.State == Alive {
+			for _, p := range []place{{m.Region, m.Zone}, {m.Region, ""}} {
+				v.zones[p] = append(v.zones[p], m)
+			}
+		}
+	}
+	r.view.Store(v)
 	r.shown = r.table.changes
 }
 
+// view is what a Registrar publishes of its table.
+type view struct {
+	members []Member
+	zones   map[place][]Member // Alive members; of the whole region under an empty zone.
+}
+
+type place struct{ region, zone string }
+
+// usable returns the members of p that were reached lately.
+func (v *view) usable(p place, now time.Time) []Member {
+	all := v.zones[p]
+	avoid := func(m Member) bool { return now.Before(m.Avoid) }
+	if !slices.ContainsFunc(all, avoid) {
+		return all
+	}
+	return slices.DeleteFunc(slices.Clone(all), avoid)
+}
+
 // Members returns everything known, sorted by name. The caller must not change
 // it.
 func (r *Registrar) Members() []Member {
 	r.once.Do(r.init)
-	return *r.members.Load()
+	return r.view.Load().members
 }
 
 // Believed returns the believed list.
@@ -130,24 +155,14 @@
 
 // Usable returns the members of a zone that may act as home, this instance
 // included, sorted by name. If the zone has none or is empty, it returns those
-// of the whole region.
+// of the whole region. The caller must not change it.
 func (r *Registrar) Usable(zone, region string) []Member {
-	all := r.Members()
-	now := r.Clock()
-	var near, far []Member
-	for _, m := range all {
-		switch {
-		case m.State != Alive || now.Before(m.Avoid) || m.Region != region:
-		case m.Zone == zone:
-			near = append(near, m)
-		default:
-			far = append(far, m)
-		}
-	}
-	if len(near) > 0 {
-		return near
+	r.once.Do(r.init)
+	v, now := r.view.Load(), r.Clock()
+	if out := v.usable(place{region, zone}, now); len(out) > 0 {
+		return out
 	}
-	return far
+	return v.usable(place{region, ""}, now)
 }
 
 // Failed reports that a dial or a session to the member named name failed. It is
--- a/internal/fleet/registrar/roster.go
+++ b/internal/fleet/registrar/roster.go
@@ -55,7 +55,7 @@
 
 // next returns the Roster after a read at now that gave names, sorted.
 func (r Roster) next(now time.Time, names []string) Roster {
-	if r.Read.IsZero() || now.Sub(r.Read) > maxGap || now.Before(r.Read) {
+	if r.Read.IsZero() || Gap(r.Read, now) > maxGap || now.Before(r.Read) {
 		return Roster{Names: names, Read: now, start: now}
 	}
 	out := Roster{Names: names, Read: now, start: r.start, steps: r.steps}
