Close sessions that a later dial replaced

Cause: a neighbour that is reached by dials only, while the views of two instances differ, got a new session every 3 s, each open for 60 s. Conclusion: TestRedial sees one session after five dials.

--- a/internal/fleet/linker/bench_test.go
+++ b/internal/fleet/linker/bench_test.go
@@ -10,15 +10,10 @@
 	"sardinelever.example/sardinelever/internal/standin/certifier"
 )
 
-func kinds() []struct {
+var kinds = []struct {
 	name  string
 	plain bool
-} {
-	return []struct {
-		name  string
-		plain bool
-	}{{"plain", true}, {"tls", false}}
-}
+}{{"plain", true}, {"tls", false}}
 
 func pair(b *testing.B, plain bool) (x, y *linker.Linker) {
 	var files parser.TLS
@@ -35,7 +30,7 @@
 // BenchmarkRoundTrip measures a message of 64 bytes and its answer on an open
 // stream.
 func BenchmarkRoundTrip(b *testing.B) {
-	for _, k := range kinds() {
+	for _, k := range kinds {
 		b.Run(k.name, func(b *testing.B) {
 			x, y := pair(b, k.plain)
 			c, err := x.Open(b.Context(), y.Addr(), linker.Call)
@@ -58,7 +53,7 @@
 
 // BenchmarkOpen measures opening a stream, one exchange and closing.
 func BenchmarkOpen(b *testing.B) {
-	for _, k := range kinds() {
+	for _, k := range kinds {
 		b.Run(k.name, func(b *testing.B) {
 			x, y := pair(b, k.plain)
 			p := make([]byte, 64)
@@ -80,7 +75,7 @@
 
 // BenchmarkSession measures the memory of one end of an idle session.
 func BenchmarkSession(b *testing.B) {
-	for _, k := range kinds() {
+	for _, k := range kinds {
 		b.Run(k.name, func(b *testing.B) {
 			x, y := pair(b, k.plain)
 			const n = 200
--- a/internal/fleet/linker/link.go
+++ b/internal/fleet/linker/link.go
@@ -95,6 +95,9 @@
 	k.dialing = nil
 	k.last = a.err
 	if a.err == nil {
+		if k.current != nil {
+			k.current.replaced.Store(true)
+		}
 		k.current, k.fails, k.next = a.sess, 0, time.Time{}
 	} else {
 		k.fails++
--- a/internal/fleet/linker/linker.go
+++ b/internal/fleet/linker/linker.go
@@ -281,13 +281,13 @@
 	return s.from, nil
 }
 
-// sweep closes idle sessions that this side dialed, and forgets links that hold
-// nothing.
+// sweep closes sessions that this side dialed and that are idle, or replaced and
+// without streams, and forgets links that hold nothing.
 func (l *Linker) sweep(now time.Time) {
 	l.mu.Lock()
 	var idle []*session
 	for s := range l.sessions {
-		if s.dialed && s.idle(now) > l.Idle {
+		if age := s.idle(now); s.dialed && (age > l.Idle || age > 0 && s.replaced.Load()) {
 			idle = append(idle, s)
 		}
 	}
--- a/internal/fleet/linker/linker_test.go
+++ b/internal/fleet/linker/linker_test.go
@@ -211,6 +211,26 @@
 	})
 }
 
+// TestRedial guards against sessions that pile up when a peer is dialed again
+// and again.
+func TestRedial(t *testing.T) {
+	a := &linker.Linker{Name: "a", Plain: true, Idle: time.Second}
+	b := &linker.Linker{Name: "b", Plain: true}
+	start(t, a)
+	start(t, b)
+	for range 5 {
+		if _, err := a.Redial(within(t), b.Addr()); err != nil {
+			t.Fatal(err)
+		}
+	}
+	c, err := a.Open(within(t), b.Addr(), linker.Call)
+	if err != nil {
+		t.Fatal(err)
+	}
+	eventually(t, "one session", func() bool { return len(a.Counts().Sessions) == 1 && len(b.Counts().Sessions) == 1 })
+	exchange(t, c, "still open")
+}
+
 // TestIdle guards against sessions that stay open without any use.
 func TestIdle(t *testing.T) {
 	a := &linker.Linker{Name: "a", Plain: true, Idle: 50 * time.Millisecond}
--- a/internal/fleet/linker/session.go
+++ b/internal/fleet/linker/session.go
@@ -31,6 +31,8 @@
 	streams atomic.Int64
 	last    atomic.Int64 // Time of the last opened or closed stream, in nanoseconds since 1970.
 	ended   atomic.Bool  // Closed on purpose.
+
+	replaced atomic.Bool // A later dial took its place in the cache.
 }
 
 // connect makes a session on a connection that this side dialed.
