--- /dev/null
+++ b/internal/fleet/registrar/bench_test.go
@@ -0,0 +1,37 @@
+package registrar_test
+
+import (
+	"testing"
+	"time"
+)
+
+// BenchmarkPlace measures a look-up of a place among 200 instances with 20
+// changes of the list in the history.
+func BenchmarkPlace(b *testing.B) {
+	c, all := newClocked(), upTo(200)
+	for i := range 20 {
+		c.read(time.Second, all[:200-i%2]...)
+	}
+	r := c.Believed()
+	b.ReportAllocs()
+	for b.Loop() {
+		r.Place("00000000-0000-7000-8000-000000000000")
+	}
+}
+
+// BenchmarkUsable measures the choice of homes among 200 instances.
+func BenchmarkUsable(b *testing.B) {
+	c := newClocked()
+	c.read(0, upTo(200)...)
+	b.ReportAllocs()
+	for b.Loop() {
+		c.Usable("z1", "home")
+	}
+}
+
+func upTo(n int) (out []int) {
+	for i := range n {
+		out = append(out, i)
+	}
+	return out
+}
