Give up homes that are silent on an open stream

Cause: a stream counted as heard when it was opened, so an ask on a stream that carried nothing waited until its deadline. Servers of a service that appears after its pool start warm. Tests for moved homes, regions and servers that fail fast. Conclusion: asks survive silent streams; a fast failure draws no calls.

--- a/internal/route/asker/ask.go
+++ b/internal/route/asker/ask.go
@@ -253,6 +253,6 @@
 	}
 	w.mu.Unlock()
 	for _, p := range late {
-		p.home.silent(p.sent)
+		p.home.silent(time.Now().Add(-answerTimeout))
 	}
 }
--- a/internal/route/asker/asker_test.go
+++ b/internal/route/asker/asker_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"testing"
 	"time"
 
@@ -65,3 +66,55 @@
 		t.Errorf("got %v, want reason none", err)
 	}
 }
+
+// TestSilentHome guards against asks that wait for a home whose stream is open
+// but no longer carries anything.
+func TestSilentHome(t *testing.T) {
+	f := newFleet([]string{"a"}, 3, 1, 2)
+	for _, in := range f.instances[1:] {
+		f.mute[in.Name] = true
+	}
+	acquire(t, &f.instances[0].Asker).Release(asker.Result{Busy: -1})
+	settle(t, f.instances, 0)
+}
+
+// TestHomeMoved guards against a new home that does not count the slots which
+// entries still hold from the home before it.
+func TestHomeMoved(t *testing.T) {
+	f := newFleet([]string{"a"}, 3, 1, 2)
+	entry := f.instances[0]
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	go entry.Run(ctx)
+	slot := acquire(t, &entry.Asker)
+	for _, in := range f.instances[1:] {
+		f.mu.Lock()
+		f.left[in.Name] = true
+		f.mu.Unlock()
+	}
+	settle(t, f.instances[:1], 1)
+	slot.Release(asker.Result{Busy: -1})
+	settle(t, f.instances, 0)
+}
+
+// TestRegions guards against calls that leave the region although it has
+// servers, and against calls that fail although another region has some.
+func TestRegions(t *testing.T) {
+	for _, tc := range []struct{ zone, region, want string }{
+		{"a", "north", "a"},
+		{"c", "north", "a"},
+		{"c", "south", "b"},
+		{"d", "west", "ab"},
+	} {
+		f := newFleet([]string{"a", "b"}, 1, 1, 1)
+		s := f.holder.Load().Services["guidance"]
+		s.Servers[1].Region = "south"
+		a := &asker.Asker{Map: &f.holder, Zone: tc.zone, Region: tc.region}
+		got := acquire(t, a).Server
+		for _, b := range s.Servers {
+			if b.Address == got && !strings.Contains(tc.want, b.Zone) {
+				t.Errorf("entry in %s, %s: got a server in zone %s, want %s", tc.zone, tc.region, b.Zone, tc.want)
+			}
+		}
+	}
+}
--- a/internal/route/asker/fleet_test.go
+++ b/internal/route/asker/fleet_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"net/netip"
 	"strconv"
@@ -26,6 +27,8 @@
 
 	mu   sync.Mutex
 	down map[string]bool
+	left map[string]bool     // Not usable as homes.
+	mute map[string]bool     // Accept streams and never answer.
 	open map[net.Conn]string // Entry sides of the streams, by home.
 }
 
@@ -39,7 +42,10 @@
 
 // newFleet makes n instances and servers servers with slots slots in each zone.
 func newFleet(zones []string, n, servers, slots int) *fleet {
-	f := &fleet{down: make(map[string]bool), open: make(map[net.Conn]string)}
+	f := &fleet{
+		down: make(map[string]bool), left: make(map[string]bool), mute: make(map[string]bool),
+		open: make(map[net.Conn]string),
+	}
 	s := &mapper.Service{Service: &parser.Service{Name: "guidance", Slots: slots}}
 	for z, zone := range zones {
 		for i := range servers {
@@ -66,8 +72,10 @@
 
 func (in *instance) Usable(zone, region string) []registrar.Member {
 	var usable []registrar.Member
+	in.fleet.mu.Lock()
+	defer in.fleet.mu.Unlock()
 	for _, o := range in.fleet.instances {
-		if (zone == "" || o.Asker.Zone == zone) && (region == "" || o.Asker.Region == region) {
+		if (zone == "" || o.Asker.Zone == zone) && (region == "" || o.Asker.Region == region) && !in.fleet.left[o.Name] {
 			usable = append(usable, o.member)
 		}
 	}
@@ -84,13 +92,20 @@
 		if o.member.Peer == peer && !f.down[o.Name] {
 			near, far := net.Pipe()
 			f.open[near] = o.Name
-			go o.Granter.Serve(in.Name, far)
+			if f.mute[o.Name] {
+				go f.run(far)
+			} else {
+				go o.Granter.Serve(in.Name, far)
+			}
 			return near, nil
 		}
 	}
 	return nil, errDown
 }
 
+// run reads a stream and answers nothing.
+func (f *fleet) run(conn net.Conn) { _, _ = io.Copy(io.Discard, conn) }
+
 // cut breaks all streams to home; down keeps new ones from being opened.
 func (f *fleet) cut(home string, down bool) {
 	f.mu.Lock()
--- a/internal/route/asker/link.go
+++ b/internal/route/asker/link.go
@@ -62,7 +62,7 @@
 func (l *link) opened(conn net.Conn) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.conn, l.heard = conn, time.Now()
+	l.conn = conn
 	return !l.broken
 }
 
--- a/internal/route/asker/plan.go
+++ b/internal/route/asker/plan.go
@@ -87,7 +87,7 @@
 		return pool{}, nil, false
 	}
 	if len(near) == 1 {
-		return near[0], rest, true
+		return near[0], rest[:min(len(rest), maxParts-1)], true
 	}
 	i := rand.IntN(len(near))
 	others = make([]pool, 0, len(near)+len(rest)-1)
--- a/internal/route/granter/ask.go
+++ b/internal/route/granter/ask.go
@@ -39,10 +39,10 @@
 
 // The kinds of replies.
 const (
-	Queued  Kind = iota // The ask waits for a slot.
-	Offered             // The slot of Server is granted.
-	Refused             // The ask gets no slot.
-	Recalled            // The slot that the entry keeps is needed.
+	Queued   Kind = iota // The ask waits for a slot.
+	Offered              // The slot of Server is granted.
+	Refused              // The ask gets no slot.
+	Recalled             // The slot that the entry keeps is needed.
 )
 
 // Reply answers an ask.
--- a/internal/route/granter/flood_test.go
+++ b/internal/route/granter/flood_test.go
@@ -76,3 +76,29 @@
 		t.Errorf("calls served in time: got %.3f of capacity, want at least 0.9", got)
 	}
 }
+
+// TestFastFailures guards against servers that draw calls by failing fast,
+// also while so many fail that they cannot all be ejected.
+func TestFastFailures(t *testing.T) {
+	for _, tc := range []struct {
+		broken int
+		most   float64 // Share of failed calls.
+	}{{1, 0.01}, {5, 0.05}, {14, 0.7}} {
+		s := newSimulation(servers, 19)
+		s.broken = tc.broken
+		newHome(s, parser.Service{Slots: slots})
+		s.arrive(job{work: work, deadline: deadline(time.Second)}, 0.25*capacity, 0, floodSpan)
+		s.run(floodSpan + time.Second)
+		failed := 0
+		for _, j := range s.jobs {
+			if j.failed {
+				failed++
+			}
+		}
+		share := float64(failed) / float64(len(s.jobs))
+		t.Logf("%d of %d servers fail fast: %.4f of the calls failed", tc.broken, servers, share)
+		if share > tc.most {
+			t.Errorf("%d of %d servers fail fast: got %.3f of the calls failed, want at most %v", tc.broken, servers, share, tc.most)
+		}
+	}
+}
--- a/internal/route/granter/pool.go
+++ b/internal/route/granter/pool.go
@@ -82,12 +82,13 @@
 	} else {
 		p.servers.Resize(now, p.config.Slots)
 	}
+	// Servers of a new home are most likely warm; those that appear later are cold.
+	cold := len(p.servers.Servers()) > 0
 	listed := make(map[netip.AddrPort]bool, len(members))
 	for i := range members {
 		b := &members[i]
 		listed[b.Address] = true
-		// Servers of a new home are most likely warm; those that appear later are cold.
-		s := p.servers.Add(now, b.Name, b.Address, !first)
+		s := p.servers.Add(now, b.Name, b.Address, cold)
 		p.servers.Leave(now, s, b.Leaving)
 		p.recallFrom(now, s)
 	}
--- a/internal/route/granter/simulation_test.go
+++ b/internal/route/granter/simulation_test.go
@@ -42,6 +42,7 @@
 	steady   bool          // The service time varies by 20% and not exponentially.
 	started  time.Time
 	ended    time.Time
+	failed   bool
 	reason   string
 }
 
@@ -54,6 +55,7 @@
 	order  int
 	rand   *rand.Rand
 	speed  []float64 // Factor on the service time of each server.
+	broken int       // Number of servers, from the first, that fail all calls after 1% of the time.
 	jobs   []*job
 	addrs  []netip.AddrPort
 	assign func(j *job) // Hands an arriving call to the policy.
@@ -118,7 +120,11 @@
 // start runs j at server i and calls done at its end.
 func (s *simulation) start(j *job, i int, done func()) {
 	j.started = s.now
-	s.after(time.Duration(float64(j.work)*s.speed[i]), func() {
+	factor := s.speed[i]
+	if j.failed = i < s.broken; j.failed {
+		factor = 0.01
+	}
+	s.after(time.Duration(float64(j.work)*factor), func() {
 		j.ended = s.now
 		done()
 	})
@@ -172,7 +178,7 @@
 		h.start(j, slices.Index(h.addrs, r.Server), func() {
 			delete(h.asked, r.Number)
 			id := granter.ID{Owner: h, Number: r.Number}
-			h.pool.Done(h.now, id, tracker.Result{Latency: j.ended.Sub(j.started), Busy: -1})
+			h.pool.Done(h.now, id, tracker.Result{Latency: j.ended.Sub(j.started), Busy: -1, Failed: j.failed})
 		})
 	}
 }
