Test each failure point of a call and keep callers' connections in order

Cause: the outcomes were untested. The tests found: a 1xx answer written to the caller after the attempt had ended (data race), http.Server panicking with "invalid concurrent Body.Read" when a body was not read in full duplex, a read deadline that cancelled later calls on the caller's connection (502 gone), and a forwarded call whose answer was hidden by a failed write of its body.

Failure table, mix-up, hang-up, slow body and identity tests through Runner. answerer.Guard handles the overlap of body and answer.

Conclusion: each failure point has its outcome.

--- a/internal/call/deduper/deduper.go
+++ b/internal/call/deduper/deduper.go
@@ -58,8 +58,7 @@
 	d.start = time.Now()
 	d.Rules = d.Rules.withDefaults()
 	d.store.Records, d.store.Bytes, d.store.Retention = d.Records, d.Bytes, d.Rules.retention()
-	// Each call has a stream of its own: http.Transport resends only on reused ones.
-	d.http = &http.Transport{DialContext: d.dial, DisableKeepAlives: true, DisableCompression: true}
+	d.http = &http.Transport{DialContext: d.dial, DisableCompression: true}
 	d.listener.setup(d.Peer)
 }
 
--- a/internal/call/deduper/forward.go
+++ b/internal/call/deduper/forward.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"net/netip"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"sardinelever.example/sardinelever/internal/call/answerer"
@@ -28,7 +30,13 @@
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), c.Deadline)
 	defer cancel()
-	resp, err := d.http.RoundTrip(forwarded(ctx, r, peer, c.Deadline))
+	b := &body{ReadCloser: r.Body}
+	g := answerer.Watch(ctx, w, b)
+	defer g.End()
+	g.Send()
+	resp, end, err := d.send(forwarded(ctx, r, b, peer, c.Deadline))
+	defer end()
+	g.Answer()
 	switch {
 	case err == nil:
 		answerer.Relay(w, resp)
@@ -39,12 +47,24 @@
 	}
 }
 
-func forwarded(ctx context.Context, r *http.Request, peer netip.AddrPort, deadline time.Time) *http.Request {
+// send sends r on a stream of its own, which end closes. It asks for no close
+// by header, because http.Server then answers before it has read the body, and
+// a failed write of the body hides the answer.
+func (d *Deduper) send(r *http.Request) (resp *http.Response, end func(), err error) {
+	cc, err := d.http.NewClientConn(r.Context(), "http", r.URL.Host)
+	if err != nil {
+		return nil, func() {}, err
+	}
+	resp, err = cc.RoundTrip(r)
+	return resp, func() { _ = cc.Close() }, err
+}
+
+func forwarded(ctx context.Context, r *http.Request, b io.ReadCloser, peer netip.AddrPort, deadline time.Time) *http.Request {
 	out := r.Clone(ctx)
 	out.RequestURI, out.Close, out.GetBody, out.TransferEncoding = "", false, nil, nil
 	out.URL.Scheme, out.URL.Host = "http", peer.String()
 	out.Host = r.Host
-	out.Trailer = r.Trailer
+	out.Body, out.Trailer = b, r.Trailer
 	if out.ContentLength == 0 {
 		out.Body = http.NoBody
 	}
@@ -54,6 +74,24 @@
 	return out
 }
 
+// body is the body of a forwarded call; it notes its end.
+type body struct {
+	io.ReadCloser
+	ended atomic.Bool
+}
+
+// Ended reports whether the body was read to its end.
+func (b *body) Ended() bool { return b.ReadCloser == http.NoBody || b.ended.Load() }
+
+// Read reads the body.
+func (b *body) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if err == io.EOF {
+		b.ended.Store(true)
+	}
+	return n, err
+}
+
 func (d *Deduper) dial(ctx context.Context, _, addr string) (net.Conn, error) {
 	peer, err := netip.ParseAddrPort(addr)
 	if err != nil {
--- a/internal/call/retrier/body.go
+++ b/internal/call/retrier/body.go
@@ -2,7 +2,9 @@
 
 import (
 	"io"
+	"net/http"
 	"sync"
+	"sync/atomic"
 
 	"github.com/pkg/errors"
 )
@@ -21,6 +23,8 @@
 	current *bodyReader
 	lost    bool // More than MaxReplay bytes were read.
 
+	ended atomic.Bool // Source is at its end.
+
 	reading sync.Mutex // Held while Source is read and kept changes.
 	kept    []byte
 	err     error // What Source returned at its end.
@@ -45,6 +49,9 @@
 	return !b.lost
 }
 
+// Ended reports whether the source was read to its end.
+func (b *Body) Ended() bool { return b.Source == http.NoBody || b.ended.Load() }
+
 type bodyReader struct {
 	body *Body
 	at   int
@@ -77,13 +84,16 @@
 		if !b.lose(r) {
 			return 0, errReplaced
 		}
-		return b.Source.Read(p)
+		n, err := b.Source.Read(p)
+		b.ended.Store(err == io.EOF)
+		return n, err
 	}
 	n, err := b.Source.Read(p[:min(len(p), left)])
 	b.kept = append(b.kept, p[:n]...)
 	r.at += n
 	if err != nil {
 		b.err = err
+		b.ended.Store(err == io.EOF)
 	}
 	if !b.mayRead(r) {
 		return 0, errReplaced
--- a/internal/call/sender/sender.go
+++ b/internal/call/sender/sender.go
@@ -6,7 +6,6 @@
 	"net/http"
 	"net/http/httptrace"
 	"net/netip"
-	"net/textproto"
 	"sync"
 	"time"
 
@@ -60,7 +59,9 @@
 	}
 	reused := !l.used.IsZero()
 	l.conn.begin()
-	resp, err := l.RoundTrip(outgoing(httptrace.WithClientTrace(ctx, o.trace()), o))
+	i := &informer{inform: o.Inform}
+	defer i.end()
+	resp, err := l.RoundTrip(outgoing(httptrace.WithClientTrace(ctx, i.trace()), o))
 	if err == nil && resp.StatusCode == http.StatusSwitchingProtocols {
 		_ = resp.Body.Close()
 		_ = l.Close()
@@ -149,17 +150,6 @@
 	return max(connections/n, leastConnections)
 }
 
-func (o *Order) trace() *httptrace.ClientTrace {
-	return &httptrace.ClientTrace{Got1xxResponse: o.inform}
-}
-
-func (o *Order) inform(status int, h textproto.MIMEHeader) error {
-	if o.Inform != nil && status != http.StatusContinue {
-		o.Inform(status, http.Header(h))
-	}
-	return nil
-}
-
 // failure returns the error of an attempt; an attempt that ctx ended has the
 // reason of ctx.
 func failure(ctx context.Context, o Outcome, reason string, err error) *Failure {
--- a/internal/instance/runner/attempt.go
+++ b/internal/instance/runner/attempt.go
@@ -19,6 +19,7 @@
 // attempts makes the attempts of one call.
 type attempts struct {
 	*pipe
+	guard *answerer.Guard
 	w     http.ResponseWriter
 	r     *http.Request
 	call  *classifier.Call
@@ -51,6 +52,9 @@
 	if t.hedge {
 		o.Inform = nil // Two attempts must not write to the caller at a time.
 	}
+	if !t.hedge {
+		t.guard.Send()
+	}
 	start := time.Now()
 	resp, err := t.sender.Send(ctx, o)
 	result := measure(resp, err, time.Since(start))
--- /dev/null
+++ b/internal/instance/runner/failure_test.go
@@ -0,0 +1,310 @@
+package runner_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/http/httptrace"
+	"net/netip"
+	"net/textproto"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/phuslu/log"
+
+	"sardinelever.example/sardinelever/internal/call/deduper"
+	"sardinelever.example/sardinelever/internal/config/parser"
+	"sardinelever.example/sardinelever/internal/instance/runner"
+	"sardinelever.example/sardinelever/internal/platform/reader"
+	"sardinelever.example/sardinelever/internal/standin/breaker"
+	"sardinelever.example/sardinelever/internal/standin/publisher"
+)
+
+// deployment is an instance with backend servers behind breakers.
+type deployment struct {
+	t        *testing.T
+	url      string
+	breakers []*breaker.Breaker
+	runs     atomic.Int64
+	arrived  chan bool // Gets a value for each call to /hold.
+	left     chan bool // Gets a value for each call to /hold that was cancelled.
+	platform publisher.Publisher
+	deduper  *deduper.Deduper
+	id       string // Identity of the calls.
+}
+
+func deploy(t *testing.T, servers int) *deployment { return deployWith(t, servers, nil) }
+
+func deployWith(t *testing.T, servers int, dd *deduper.Deduper) *deployment {
+	d := &deployment{t: t, deduper: dd, arrived: make(chan bool, 100), left: make(chan bool, 100)}
+	entries := make([]reader.Entry, 0, servers)
+	for i := range servers {
+		s := httptest.NewServer(d)
+		t.Cleanup(s.CloseClientConnections)
+		b := &breaker.Breaker{Server: netip.MustParseAddrPort(s.Listener.Addr().String()), Release: make(chan struct{})}
+		addr, err := b.Start()
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(b.Stop)
+		d.breakers = append(d.breakers, b)
+		entries = append(entries, reader.Entry{Name: fmt.Sprint("s-", i), Address: addr, Zone: "a", Region: "home", Service: "s"})
+	}
+	d.platform.SetList(entries)
+	text, err := parser.FormatBundle(&parser.Bundle{Version: 1, Services: []parser.Service{{
+		Name: "s", Slots: 50, Routes: []parser.Route{{Path: "/", Methods: []string{http.MethodGet, http.MethodHead}, Idempotent: true}},
+	}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	d.platform.Publish(text)
+	d.start()
+	return d
+}
+
+func (d *deployment) start() {
+	p := httptest.NewServer(&d.platform)
+	ctx, cancel := context.WithCancel(context.Background())
+	r := &runner.Runner{
+		Deduper: d.deduper,
+		Log:     &log.Logger{Level: log.ErrorLevel, Writer: &log.IOWriter{Writer: io.Discard}},
+		Settings: &parser.Settings{
+			Name: "one", Zone: "a", Callers: netip.MustParseAddrPort("127.0.0.1:0"), Platform: p.URL,
+			Notice: parser.Duration(time.Millisecond), Plain: true,
+		},
+	}
+	ended := make(chan error, 1)
+	go func() { ended <- r.Run(ctx) }()
+	d.t.Cleanup(func() {
+		cancel()
+		<-ended
+		p.Close()
+	})
+	for !r.Ready() {
+		time.Sleep(time.Millisecond)
+	}
+	d.url = "http://" + r.Address().String() + "/s"
+}
+
+// ServeHTTP is the backend server.
+func (d *deployment) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	d.runs.Add(1)
+	switch r.URL.Path {
+	case "/refuse":
+		w.Header().Set("Sardine-Refused", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+	case "/foreign":
+		w.WriteHeader(http.StatusServiceUnavailable)
+	case "/hold":
+		_, _ = io.Copy(io.Discard, r.Body)
+		d.arrived <- true
+		<-r.Context().Done()
+		d.left <- true
+	case "/note":
+		d.arrived <- true
+		_, _ = io.WriteString(w, "noted")
+	case "/early":
+		w.WriteHeader(http.StatusRequestEntityTooLarge)
+	default:
+		w.Header().Set("Link", "hint")
+		w.WriteHeader(http.StatusEarlyHints)
+		body, _ := io.ReadAll(r.Body)
+		_, _ = w.Write(body)
+	}
+}
+
+// call sends a call and describes what the caller sees.
+func (d *deployment) call(ctx context.Context, method, path, body, deadline string) string {
+	r, err := http.NewRequestWithContext(ctx, method, d.url+path, strings.NewReader(body))
+	if err != nil {
+		d.t.Fatal(err)
+	}
+	if deadline != "" {
+		r.Header.Set("Sardine-Deadline", deadline)
+	}
+	if d.id != "" {
+		r.Header.Set("Sardine-Id", d.id)
+	}
+	resp, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return "no answer"
+	}
+	defer func() { _ = resp.Body.Close() }()
+	text, err := io.ReadAll(resp.Body)
+	if o := resp.Header.Get("Sardine-Outcome"); o != "" {
+		return strings.TrimSpace(fmt.Sprintf("%d %s %s", resp.StatusCode, o, resp.Header.Get("Sardine-Reason")))
+	}
+	if err != nil {
+		return "cut"
+	}
+	return fmt.Sprintf("%d %s", resp.StatusCode, text)
+}
+
+// TestFailurePoints guards against a failure that the caller is told wrongly,
+// above all a call that may have run and is reported as rejected.
+func TestFailurePoints(t *testing.T) {
+	long := strings.Repeat("x", 100_000)
+	tests := []struct {
+		name     string
+		fault    breaker.Fault
+		path     string
+		body     string
+		deadline string
+		want     string // Alternatives are separated by |.
+	}{
+		{name: "no fault", path: "/echo", body: "b", want: "200 b"},
+		{name: "reset before the request", fault: breaker.Fault{Kind: breaker.Reset, Down: -1}, path: "/echo", want: "502 unknown read"},
+		{name: "reset within the request", fault: breaker.Fault{Kind: breaker.Reset, Up: 30, Down: -1}, path: "/echo", body: "b", want: "502 unknown read"},
+		{name: "reset before the answer", fault: breaker.Fault{Kind: breaker.Reset, Up: -1}, path: "/echo", body: "b", want: "502 unknown read"},
+		{name: "silence before the request", fault: breaker.Fault{Kind: breaker.Silent, Down: -1}, path: "/echo", body: "b", deadline: "200", want: "504 unknown deadline"},
+		{name: "late answer", fault: breaker.Fault{Kind: breaker.Silent, Up: -1}, path: "/echo", body: "b", deadline: "200", want: "504 unknown deadline"},
+		{name: "header cut", fault: breaker.Fault{Kind: breaker.Reset, Up: -1, Down: 20}, path: "/echo", body: "b", want: "502 unknown read"},
+		{name: "body cut", fault: breaker.Fault{Kind: breaker.Reset, Up: -1, Down: 50_000}, path: "/echo", body: long, want: "cut|no answer"},
+		{name: "body silent", fault: breaker.Fault{Kind: breaker.Silent, Up: -1, Down: 50_000}, path: "/echo", body: long, deadline: "500", want: "cut|no answer"},
+		{name: "documented refusal", path: "/refuse", body: "b", want: "503 rejected refused"},
+		{name: "foreign 503", path: "/foreign", body: "b", want: "503 failed"},
+		{name: "answer twice", fault: breaker.Fault{Kind: breaker.Twice, Up: -1, Down: -1}, path: "/early", want: "413 "},
+		{name: "answer before the body", path: "/early", body: long + long, want: "413 |502 unknown read"},
+		{name: "deadline before sending", path: "/echo", body: "b", deadline: "0", want: "504 rejected deadline"},
+		{name: "deadline after sending", path: "/hold", body: "b", deadline: "200", want: "504 unknown deadline"},
+		{name: "bad header", path: "/echo", deadline: "soon", want: "400 rejected header"},
+		{name: "unknown service", path: "x/echo", want: "404 rejected service"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			d := deploy(t, 1)
+			b := d.breakers[0]
+			b.Set(tt.fault)
+			got := d.call(t.Context(), http.MethodPost, tt.path, tt.body, tt.deadline)
+			if !strings.Contains("|"+tt.want+"|", "|"+got+"|") {
+				t.Errorf("got %q, want %q", got, tt.want)
+			}
+			if d.runs.Load() > 1 || strings.Contains(got, "rejected") && tt.path != "/refuse" && d.runs.Load() > 0 {
+				t.Errorf("got %d runs for %q", d.runs.Load(), got)
+			}
+			b.Set(breaker.Fault{})
+			close(b.Release) // Late answers arrive now, and must not reach the next call.
+			for range 3 {
+				if got, want := d.call(t.Context(), http.MethodPost, "/echo", "next", ""), "200 next"; got != want {
+					t.Errorf("got %q for the next call, want %q", got, want)
+				}
+			}
+		})
+	}
+}
+
+// TestRefused guards against a refused connection that is not reported as
+// rejected, or that is not retried on another backend server.
+func TestRefused(t *testing.T) {
+	d := deploy(t, 1)
+	d.breakers[0].Stop()
+	if got, want := d.call(t.Context(), http.MethodPost, "/echo", "b", ""), "503 rejected connect"; got != want {
+		t.Errorf("got %q, want %q", got, want)
+	}
+	d = deploy(t, 2)
+	d.breakers[0].Stop()
+	for range 5 {
+		if got, want := d.call(t.Context(), http.MethodPost, "/echo", "b", ""), "200 b"; got != want {
+			t.Errorf("got %q, want %q", got, want)
+		}
+	}
+}
+
+// TestSilent guards against a read that waits for its deadline because one
+// backend server is silent.
+func TestSilent(t *testing.T) {
+	d := deploy(t, 2)
+	d.breakers[0].Set(breaker.Fault{Kind: breaker.Silent, Down: -1})
+	for range 3 {
+		if got, want := d.call(t.Context(), http.MethodGet, "/echo", "", "20000"), "200 "; got != want {
+			t.Errorf("got %q, want %q", got, want)
+		}
+	}
+}
+
+// TestCallerGone guards against a backend server that works on for a caller
+// that has hung up.
+func TestCallerGone(t *testing.T) {
+	d := deploy(t, 1)
+	ctx, cancel := context.WithCancel(t.Context())
+	go func() {
+		<-d.arrived
+		cancel()
+	}()
+	if got, want := d.call(ctx, http.MethodPost, "/hold", "b", ""), "no answer"; got != want {
+		t.Errorf("got %q, want %q", got, want)
+	}
+	<-d.left
+}
+
+// TestSlowBody guards against a call that outlives its deadline because its
+// caller does not send the body.
+func TestSlowBody(t *testing.T) {
+	d := deploy(t, 1)
+	addr, _, _ := strings.Cut(strings.TrimPrefix(d.url, "http://"), "/")
+	c, err := net.Dial("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = c.Close() }()
+	_, _ = io.WriteString(c, "POST /s/echo HTTP/1.1\r\nHost: x\r\nContent-Length: 10\r\nSardine-Deadline: 200\r\n\r\npart")
+	text, _ := io.ReadAll(c)
+	if !strings.Contains(string(text), " 504 ") || !strings.Contains(string(text), "Sardine-Outcome: unknown") {
+		t.Errorf("got %q, want 504 with outcome unknown", text)
+	}
+}
+
+// TestHints guards against 1xx answers that are lost or end the call.
+func TestHints(t *testing.T) {
+	d := deploy(t, 1)
+	hints := 0
+	ctx := httptrace.WithClientTrace(t.Context(), &httptrace.ClientTrace{Got1xxResponse: func(code int, h textproto.MIMEHeader) error {
+		if code == http.StatusEarlyHints && h.Get("Link") == "hint" {
+			hints++
+		}
+		return nil
+	}})
+	if got, want := d.call(ctx, http.MethodPost, "/echo", "b", ""), "200 b"; got != want || hints != 1 {
+		t.Errorf("got %q with %d hints, want %q with 1", got, hints, want)
+	}
+}
+
+// TestMixUp guards against an answer that reaches another caller, when many
+// calls share connections and some are cancelled or miss their deadlines.
+func TestMixUp(t *testing.T) {
+	d := deploy(t, 2)
+	var g sync.WaitGroup
+	var whole atomic.Int64
+	for caller := range 16 {
+		g.Go(func() {
+			for i := range 40 {
+				body := strings.Repeat(fmt.Sprintf("%d.%d ", caller, i), 1+rand.IntN(2000))
+				path, deadline := "/echo", ""
+				switch i % 5 {
+				case 1:
+					path, deadline = "/hold", "5"
+				case 2:
+					deadline = fmt.Sprint(1 + rand.IntN(5))
+				}
+				got := d.call(t.Context(), http.MethodPost, path, body, deadline)
+				if got == "200 "+body {
+					whole.Add(1)
+				} else if strings.HasPrefix(got, "200") || deadline == "" {
+					t.Errorf("got %.40q, want the caller's own body %.20q", got, body)
+				}
+			}
+		})
+	}
+	g.Wait()
+	if whole.Load() < 16*40*3/5 {
+		t.Errorf("got %d whole answers, want at least three in five", whole.Load())
+	}
+}
--- a/internal/instance/runner/pipe.go
+++ b/internal/instance/runner/pipe.go
@@ -84,10 +84,11 @@
 		return false
 	}
 	defer free()
-	if r.ContentLength != 0 {
-		prepare(w, c.Deadline)
-	}
-	a, err := p.retrier.Do(ctx, p.order(w, r, c))
+	body := &retrier.Body{Source: r.Body}
+	g := answerer.Watch(ctx, w, body)
+	defer g.End()
+	a, err := p.retrier.Do(ctx, p.order(&attempts{pipe: p, guard: g, w: w, r: r, call: c, body: body}))
+	g.Answer()
 	if err != nil {
 		return p.report(ctx, w, err)
 	}
@@ -96,13 +97,12 @@
 	return true
 }
 
-func (p *pipe) order(w http.ResponseWriter, r *http.Request, c *classifier.Call) *retrier.Call[*answer] {
-	body := &retrier.Body{Source: r.Body}
-	hedge := c.Idempotent && r.ContentLength == 0
-	t := &attempts{pipe: p, w: w, r: r, call: c, body: body, hedge: hedge}
+func (p *pipe) order(t *attempts) *retrier.Call[*answer] {
+	c := t.call
+	t.hedge = c.Idempotent && t.r.ContentLength == 0
 	return &retrier.Call[*answer]{
 		Service: c.Service.Name, Idempotent: c.Idempotent, Urgent: c.Rank == parser.Urgent, Budget: c.Budget,
-		Replay: t.replay, Hedge: hedge, Try: t.try, Drop: (*answer).drop,
+		Replay: t.replay, Hedge: t.hedge, Try: t.try, Drop: (*answer).drop,
 	}
 }
 
@@ -138,14 +138,3 @@
 		return r.ContentLength + callBuffers
 	}
 }
-
-// prepare lets an answer start before the body was read, and ends a wait for
-// the body soon after the deadline: http.ClientConn returns only then.
-func prepare(w http.ResponseWriter, deadline time.Time) {
-	c := http.NewResponseController(w)
-	_ = c.EnableFullDuplex()
-	_ = c.SetReadDeadline(deadline.Add(bodyGrace))
-}
-
-// bodyGrace lets the deadline itself pass first, so that it is the reason that is reported.
-const bodyGrace = 50 * time.Millisecond
