Keep no connection header in a remembered answer

Cause: an answer that began before the whole body was read was kept with Connection: close, and its repeats closed their callers' connections.

Change: the recorder keeps the answer without headers of one connection.

Conclusion: tests of deduper, runner and cmd/sardinelever pass with -race.

--- a/internal/call/deduper/recorder.go
+++ b/internal/call/deduper/recorder.go
@@ -3,6 +3,8 @@
 import (
 	"maps"
 	"net/http"
+
+	"sardinelever.example/sardinelever/internal/call/sender"
 )
 
 // recorder passes an answer on and keeps a copy of it for repeats.
@@ -20,6 +22,7 @@
 func (w *recorder) WriteHeader(status int) {
 	if w.status == 0 && status >= http.StatusOK {
 		w.status, w.header = status, w.Header().Clone()
+		sender.StripHop(w.header) // Repeats come on other connections.
 		size := 0
 		for name, values := range w.header {
 			for _, v := range values {
@@ -62,7 +65,9 @@
 	if w.lost || w.status == 0 {
 		return nil
 	}
-	return &Answer{Status: w.status, Header: w.header, Trailer: w.Header().Clone(), Body: w.body}
+	trailer := w.Header().Clone()
+	trailer.Del("Connection")
+	return &Answer{Status: w.status, Header: w.header, Trailer: trailer, Body: w.body}
 }
 
 func (a *Answer) write(w http.ResponseWriter) {
