Send calls that cannot be hedged on fresh connections only

Cause: an idempotent call with a body is not hedged, so a silent connection held it until its deadline.

Change: only first attempts that can be hedged use connections that were idle for more than a second.

--- a/internal/instance/runner/attempt.go
+++ b/internal/instance/runner/attempt.go
@@ -47,7 +47,9 @@
 	}
 	o := &sender.Order{
 		Call: c, Request: t.r, Body: body, Server: slot.Server, Attempt: c.Attempt + a.Number - 1,
-		Budget: a.Budget, Fresh: a.Number > 1, Inform: t.inform,
+		Budget: a.Budget, Inform: t.inform,
+		// Only a first attempt that can be hedged may meet a silent connection.
+		Fresh: a.Number > 1 || !t.hedge,
 	}
 	if t.hedge {
 		o.Inform = nil // Two attempts must not write to the caller at a time.
