Name the byte-exact fault proxy Injector

Cause: another forwarder of this package is already named Breaker. Change: rename only. Before and after: the failure table passes unchanged. Conclusion: both stay, one is byte-exact and one holds up whole connections.

--- a/internal/instance/runner/failure_test.go
+++ b/internal/instance/runner/failure_test.go
@@ -31,7 +31,7 @@
 type deployment struct {
 	t        *testing.T
 	url      string
-	breakers []*breaker.Breaker
+	breakers []*breaker.Injector
 	runs     atomic.Int64
 	arrived  chan bool // Gets a value for each call to /hold.
 	left     chan bool // Gets a value for each call to /hold that was cancelled.
@@ -48,7 +48,7 @@
 	for i := range servers {
 		s := httptest.NewServer(d)
 		t.Cleanup(s.CloseClientConnections)
-		b := &breaker.Breaker{Server: netip.MustParseAddrPort(s.Listener.Addr().String()), Release: make(chan struct{})}
+		b := &breaker.Injector{Server: netip.MustParseAddrPort(s.Listener.Addr().String()), Release: make(chan struct{})}
 		addr, err := b.Start()
 		if err != nil {
 			t.Fatal(err)
--- a/internal/standin/breaker/breaker.go
+++ b/internal/standin/breaker/injector.go
@@ -29,8 +29,8 @@
 	Down int // Bytes from the backend server that pass before a fault; below 0 means all.
 }
 
-// Breaker forwards connections to Server; the zero fault passes everything.
-type Breaker struct {
+// Injector forwards connections to Server; the zero fault passes everything.
+type Injector struct {
 	Server netip.AddrPort
 	// Release ends the silence of silent connections: what they held back passes.
 	Release chan struct{}
@@ -40,13 +40,13 @@
 }
 
 // Set applies f to the connections accepted from now on.
-func (b *Breaker) Set(f Fault) { b.fault.Store(&f) }
+func (b *Injector) Set(f Fault) { b.fault.Store(&f) }
 
 // Start listens on loopback and returns the address.
-func (b *Breaker) Start() (netip.AddrPort, error) {
+func (b *Injector) Start() (netip.AddrPort, error) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
-		return netip.AddrPort{}, errors.Wrap(err, "breaker")
+		return netip.AddrPort{}, errors.Wrap(err, "injector")
 	}
 	b.listener = l
 	go b.run()
@@ -54,9 +54,9 @@
 }
 
 // Stop closes the listener; further connections are refused.
-func (b *Breaker) Stop() { _ = b.listener.Close() }
+func (b *Injector) Stop() { _ = b.listener.Close() }
 
-func (b *Breaker) run() {
+func (b *Injector) run() {
 	for {
 		c, err := b.listener.Accept()
 		if err != nil {
@@ -77,7 +77,7 @@
 	}
 }
 
-// pair is a connection through the breaker.
+// pair is a connection through an Injector.
 type pair struct {
 	caller, server *net.TCPConn
 	fault          Fault
