--- a/cmd/sardinelever/process_test.go
+++ b/cmd/sardinelever/process_test.go
@@ -40,7 +40,11 @@
 	answer := make(chan string, 1)
 	c := &caller{url: i.URL() + "/guidance/book", answer: answer}
 	go c.run()
-	release <- time.Time{} // The call is at the backend server.
+	select {
+	case release <- time.Time{}: // The call is at the backend server.
+	case got := <-answer:
+		t.Fatalf("got answer %q before the backend server ran the call", got)
+	}
 	if err := i.Signal(syscall.SIGTERM); err != nil {
 		t.Fatal(err)
 	}
