Put the list into the map before an instance is ready

Cause: readiness waited for a bundle only; calls in the first 50 ms were rejected with reason none because the map had no backend servers yet (seen in TestProcess and TestFailurePoints). The sender's pools were read before they were set up (seen by the race detector). Change: the map is rebuilt with the list before readiness; setup is done on every entry. Conclusion: readiness now means that calls can be served.

--- a/internal/call/sender/sender.go
+++ b/internal/call/sender/sender.go
@@ -119,6 +119,7 @@
 // Active reports whether an exchange with server runs now or ended within age,
 // so that its state is known without a probe.
 func (s *Sender) Active(server netip.AddrPort, age time.Duration) bool {
+	s.once.Do(s.setup)
 	s.mu.Lock()
 	p := s.pools[server]
 	s.mu.Unlock()
@@ -128,6 +129,7 @@
 // Keep forgets backend servers that are not among servers and have no
 // connection left, and closes the idle connections to them.
 func (s *Sender) Keep(servers map[netip.AddrPort]bool) {
+	s.once.Do(s.setup)
 	s.mu.Lock()
 	var drop []*pool
 	for addr, p := range s.pools {
--- a/internal/instance/runner/parts.go
+++ b/internal/instance/runner/parts.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/netip"
+	"sync"
 	"time"
 
 	"github.com/phuslu/log"
@@ -34,6 +35,7 @@
 	meter       *meter.Meter
 
 	maps     mapper.Holder
+	mapping  sync.Mutex // Serializes changes of maps.
 	audit    auditor.Auditor
 	keeper   keeper.Keeper
 	detector detector.Detector
@@ -162,7 +164,10 @@
 	}
 }
 
+// remap stores the map of the present bundle and list.
 func (p *parts) remap() {
+	p.mapping.Lock()
+	defer p.mapping.Unlock()
 	b, _ := p.keeper.Current()
 	m := mapper.Join(b, p.lists.List())
 	p.maps.Store(m)
@@ -183,7 +188,8 @@
 	}
 	p.members.SetList(p.lists.List(), p.lists.Read())
 	p.spreader.AskPeers(ctx, peerWait)
-	until(ctx, func() bool { return p.maps.Load().Version > 0 })
+	until(ctx, func() bool { b, _ := p.keeper.Current(); return b != nil })
+	p.remap()
 }
 
 // until waits for done and returns false when ctx ends first.
