Wait for places to settle and replace instances beside the trial

Cause: an instance runs a call with a caller-made identity only after it was its place for 30 s, so a young fleet answers all of them with unknown; and a replacement that is waited for delays the next failures. Change: all instances are listed before the first starts; once, split and mishaps wait 31 s before the calls; replacements run beside the trial.

--- a/internal/load/deployer/cluster.go
+++ b/internal/load/deployer/cluster.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/netip"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -39,7 +40,7 @@
 
 	mu      sync.Mutex
 	running []*launcher.Instance
-	started int
+	listed  []*parser.Settings
 }
 
 // Zones are the availability zones of each deployment.
@@ -70,8 +71,16 @@
 			return err
 		}
 	}
-	for range c.Instances {
-		if _, err := c.Launch(); err != nil {
+	// All are listed before the first starts: a list that grows would change
+	// the places of identities, which section 6 of the design answers with unknown.
+	for n := range c.Instances {
+		if _, err := c.settings(fmt.Sprintf("i%02d", n+1), Zones[n%len(Zones)]); err != nil {
+			return err
+		}
+	}
+	c.List(nil)
+	for _, s := range c.listed {
+		if _, err := c.launch(s); err != nil {
 			return err
 		}
 	}
@@ -108,16 +117,8 @@
 	}
 }
 
-// Launch starts one more instance, which does not yet receive calls, and lists it.
-func (c *Cluster) Launch() (*launcher.Instance, error) {
-	c.mu.Lock()
-	c.started++
-	n := c.started
-	c.mu.Unlock()
-	return c.launch(fmt.Sprintf("i%02d", n), Zones[(n-1)%len(Zones)])
-}
-
-func (c *Cluster) launch(name, zone string) (*launcher.Instance, error) {
+// settings makes the settings of an instance and adds it to the list.
+func (c *Cluster) settings(name, zone string) (*parser.Settings, error) {
 	s := &parser.Settings{
 		Name: name, Zone: zone, Platform: c.Stager.URL, Policy: c.Policy,
 		Notice: parser.Duration(c.Notice), Plain: true,
@@ -131,29 +132,37 @@
 			return nil, err
 		}
 	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.listed = append(c.listed, s)
+	return s, nil
+}
+
+func (c *Cluster) launch(s *parser.Settings) (*launcher.Instance, error) {
 	i, err := c.Launcher.Start(s)
 	if err != nil {
 		return nil, err
 	}
 	c.mu.Lock()
+	defer c.mu.Unlock()
 	c.running = append(c.running, i)
-	c.mu.Unlock()
-	c.List(nil)
 	return i, nil
 }
 
-// Join waits until i is ready and lets it receive calls.
-func (c *Cluster) Join(ctx context.Context, i *launcher.Instance) error { return c.await(ctx, i)() }
-
 // Replace starts a new instance in place of the ended i, with its name and
 // zone and other addresses, and waits until it receives calls.
-func (c *Cluster) Replace(ctx context.Context, i *launcher.Instance) (*launcher.Instance, error) {
+func (c *Cluster) Replace(ctx context.Context, i *launcher.Instance) error {
 	c.forget(i)
-	n, err := c.launch(i.Settings.Name, i.Settings.Zone)
+	s, err := c.settings(i.Settings.Name, i.Settings.Zone)
 	if err != nil {
-		return nil, err
+		return err
+	}
+	c.List(nil)
+	n, err := c.launch(s)
+	if err != nil {
+		return err
 	}
-	return n, c.Join(ctx, n)
+	return c.await(ctx, n)()
 }
 
 // Kill ends i at once; the platform's load balancer and list notice after a second.
@@ -169,12 +178,8 @@
 	c.Entrance.Remove(i.URL())
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for n := range c.running {
-		if c.running[n] == i {
-			c.running = append(c.running[:n:n], c.running[n+1:]...)
-			return
-		}
-	}
+	c.running = slices.DeleteFunc(slices.Clone(c.running), func(x *launcher.Instance) bool { return x == i })
+	c.listed = slices.DeleteFunc(slices.Clone(c.listed), func(s *parser.Settings) bool { return s == i.Settings })
 }
 
 // Running returns the instances that were started and not ended by the cluster.
@@ -187,10 +192,10 @@
 // List publishes the list; leaving names its leaving entries.
 func (c *Cluster) List(leaving map[string]bool) {
 	entries := append([]reader.Entry(nil), c.Stager.Entries...)
-	for _, i := range c.Running() {
-		entries = append(entries, reader.Entry{
-			Name: i.Settings.Name, Address: i.Settings.Callers, Peer: i.Settings.Peers, Zone: i.Settings.Zone, Region: "home",
-		})
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, s := range c.listed {
+		entries = append(entries, reader.Entry{Name: s.Name, Address: s.Callers, Peer: s.Peers, Zone: s.Zone, Region: "home"})
 	}
 	for n := range entries {
 		entries[n].Leaving = leaving[entries[n].Name]
--- a/internal/load/driver/driver.go
+++ b/internal/load/driver/driver.go
@@ -22,7 +22,7 @@
 }
 
 // patience is how long a caller waits beyond the deadline of its call.
-const patience = 3 * time.Second
+const patience = time.Second
 
 // defaultDeadline is that of a route without one.
 const defaultDeadline = 10 * time.Second
--- a/internal/load/scenarist/configuration.go
+++ b/internal/load/scenarist/configuration.go
@@ -42,10 +42,7 @@
 			return err
 		}
 		if n%6 == 4 && n/6 < len(old)-1 {
-			c.Kill(old[n/6])
-			if err := t.replace(c, old[n/6]); err != nil {
-				return err
-			}
+			t.replace(c, old[n/6])
 		}
 	}
 	r.until(end + configTarget)
@@ -55,7 +52,7 @@
 	rate := float64(c.Stager.Platform.Reads.Load()-reads)/passed + w.pending()
 	t.judge(w, rate, c)
 	t.correct(c, calls)
-	return nil
+	return t.replaced()
 }
 
 // disturb switches the platform service to the fault that belongs to step n:
--- a/internal/load/scenarist/mishaps.go
+++ b/internal/load/scenarist/mishaps.go
@@ -11,7 +11,7 @@
 	"sardinelever.example/sardinelever/internal/standin/launcher"
 )
 
-const mishapsTime = 32 * time.Second
+const mishapsTime = 14 * time.Second
 
 // action begins or ends a failure; i is the instance that it concerns.
 type action func(t *Trial, c *deployer.Cluster, i *launcher.Instance) error
@@ -55,7 +55,7 @@
 	}
 	end := t.span(mishapsTime)
 	events := t.draw(end)
-	r := t.start(c, t.mixture(end))
+	r := t.start(c, t.settled(end))
 	all := c.Running()
 	for _, e := range events {
 		r.until(e.at)
@@ -91,7 +91,7 @@
 	return nil
 }
 
-func replace(t *Trial, c *deployer.Cluster, i *launcher.Instance) error { return t.replace(c, i) }
+func replace(t *Trial, c *deployer.Cluster, i *launcher.Instance) error { return c.Replace(t.ctx, i) }
 
 func send(sig syscall.Signal) action {
 	return func(_ *Trial, _ *deployer.Cluster, i *launcher.Instance) error { return i.Signal(sig) }
--- a/internal/load/scenarist/once.go
+++ b/internal/load/scenarist/once.go
@@ -7,24 +7,36 @@
 	"sardinelever.example/sardinelever/internal/load/deployer"
 	"sardinelever.example/sardinelever/internal/load/planner"
 	"sardinelever.example/sardinelever/internal/load/recorder"
-	"sardinelever.example/sardinelever/internal/standin/launcher"
 )
 
-const onceTime = 32 * time.Second
+const onceTime = 14 * time.Second
 
 // retries is how often a caller repeats a call without a definite answer.
-const retries = 3
+const retries = 2
 
-// mixture returns reads, and calls that must not run twice with each kind of identity.
+// mixture returns reads and calls that must not run twice, without an identity
+// and with an issued one.
 func (t *Trial) mixture(till time.Duration) []planner.Stream {
 	b := t.deployment.Books
-	bare := named(t.books(b, 0.1, 0, till), "bare", planner.None, 0)
-	made := named(t.books(b, 0.25, 0, till), "made", planner.Made, retries)
 	issued := named(t.books(b, 0.25, 0, till), "issued", planner.Issued, retries)
-	made.Deadline, issued.Deadline = 2*time.Second, 2*time.Second
-	return []planner.Stream{t.reads(0.2, 0, till), bare, made, issued}
+	issued.Deadline = 2 * time.Second
+	return []planner.Stream{t.reads(0.2, 0, till), named(t.books(b, 0.1, 0, till), "bare", planner.None, 0), issued}
 }
 
+// settled is the mixture with calls whose identities callers made. An instance
+// runs these only after it was their place for 30 s (section 6 of the design),
+// so the trial waits that long; the short form does not, and most are unknown.
+func (t *Trial) settled(till time.Duration) []planner.Stream {
+	if !t.Short {
+		t.sleep(settleTime)
+	}
+	made := named(t.books(t.deployment.Books, 0.25, 0, till), "made", planner.Made, retries)
+	made.Deadline = 2 * time.Second
+	return append(t.mixture(till), made)
+}
+
+const settleTime = 31 * time.Second
+
 // once kills, pauses and replaces instances, cuts connections and delays
 // answers while callers repeat calls at other instances.
 func once(t *Trial) error {
@@ -34,41 +46,28 @@
 		return err
 	}
 	end := t.span(onceTime)
-	r := t.start(c, t.mixture(end))
+	r := t.start(c, t.settled(end))
 	all := c.Running()
-	killed, paused, second := all[0], all[1%len(all)], all[len(all)-1]
+	paused := all[1%len(all)]
 	r.until(end / 8)
-	c.Kill(killed)
+	t.replace(c, all[0])
 	r.until(end * 2 / 8)
 	t.cut(c)
-	if err := t.replace(c, killed); err != nil {
-		return err
-	}
 	r.until(end * 3 / 8)
 	_ = paused.Signal(syscall.SIGSTOP)
-	r.until(end * 4 / 8)
 	t.late(c, 40)
 	r.until(end * 5 / 8)
 	_ = paused.Signal(syscall.SIGCONT)
 	t.late(c, 1)
 	t.cut(c)
 	r.until(end * 6 / 8)
-	c.Kill(second)
-	if err := t.replace(c, second); err != nil {
-		return err
-	}
+	t.replace(c, all[len(all)-1])
 	r.until(end * 7 / 8)
 	t.cut(c)
 	calls := r.wait("calls under kills, a pause, cuts and late answers")
 	t.correct(c, calls)
 	t.shareOfUnknown(calls)
-	return nil
-}
-
-// replace puts a new instance in the place of the ended one.
-func (t *Trial) replace(c *deployer.Cluster, i *launcher.Instance) error {
-	_, err := c.Replace(t.ctx, i)
-	return err
+	return t.replaced()
 }
 
 // cut closes all connections to every other backend server.
--- a/internal/load/scenarist/probes.go
+++ b/internal/load/scenarist/probes.go
@@ -30,16 +30,13 @@
 		if n >= len(old)-1 {
 			continue
 		}
-		c.Kill(old[n])
-		if err := t.replace(c, old[n]); err != nil {
-			return err
-		}
+		t.replace(c, old[n])
 	}
 	r.wait("calls while servers struggle and instances are replaced")
 	total, worst := t.measured(c)
 	t.count(total > 0, "%d probes were sent", total)
 	t.count(worst <= 1, "measuring took at most %.0f%% of the budget of a backend server in any second", 100*worst)
-	return nil
+	return t.replaced()
 }
 
 // struggle makes another quarter of the servers slow and lets some fail.
--- a/internal/load/scenarist/split.go
+++ b/internal/load/scenarist/split.go
@@ -8,7 +8,7 @@
 )
 
 const (
-	splitTime   = 32 * time.Second
+	splitTime   = 16 * time.Second
 	splitSettle = 3 * time.Second // Time until silent instances are suspected, section 8 of the design.
 	splitTarget = 99.0            // Per cent of the reads that each side serves from then on.
 )
@@ -22,7 +22,7 @@
 	}
 	end := t.span(splitTime)
 	zone := deployer.Zones[len(deployer.Zones)-1]
-	r := t.start(c, t.mixture(end))
+	r := t.start(c, t.settled(end))
 	r.until(end / 4)
 	c.Part(zone)
 	from := time.Since(r.start)
--- a/internal/load/scenarist/usage.go
+++ b/internal/load/scenarist/usage.go
@@ -34,7 +34,7 @@
 
 // control returns the bytes of control traffic of an instance so far.
 func control(i *launcher.Instance) (float64, bool) {
-	return sampler.Metric(fmt.Sprintf("http://%s/metrics", i.Settings.Operator), "control", "bytes")
+	return sampler.Counters(fmt.Sprintf("http://%s/metrics", i.Settings.Operator), "control", "bytes")
 }
 
 // maxMachine is the share of the machine above which calls wait for a
@@ -48,7 +48,7 @@
 	share := sampler.ReadMachine().Share(u.machine)
 	self, _ := sampler.Process(os.Getpid())
 	var sum, most, bytes float64
-	var memory int64
+	var memory int
 	n, served := 0, 0
 	for _, i := range u.cluster.Running() {
 		before, ok := u.before[i]
@@ -94,6 +94,9 @@
 			most = max(most, perSecond(times))
 		}
 		share := float64(most) * s.Probe.Cost.Std().Seconds() / s.Probe.Budget.Std().Seconds()
+		if all == 0 {
+			continue
+		}
 		t.printf("  probes of %s: %d in all, at most %d in a second at one backend server, %.0f%% of its budget\n", s.Name, all, most, 100*share)
 		total, worst = total+all, max(worst, share)
 	}
