Spend constant service times on a processor when measuring overhead

Cause: timers of an idle process end up to a millisecond late, more than the target of 0.34 ms. Change: the worker can spin for its service time; overhead uses 300 us.

--- a/internal/load/scenarist/overhead.go
+++ b/internal/load/scenarist/overhead.go
@@ -5,6 +5,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"strconv"
 	"sync"
 	"time"
 
@@ -18,8 +19,8 @@
 
 const (
 	overheadTarget  = 340 * time.Microsecond // Section 1.4 of the design.
-	overheadService = 2 * time.Millisecond
-	overheadRate    = 400 // Triples of calls per second: 2% of the slots.
+	overheadService = 300 * time.Microsecond
+	overheadRate    = 400 // Triples of calls per second.
 	overheadWarm    = 3 * time.Second
 	overheadTime    = 25 * time.Second
 )
@@ -29,7 +30,7 @@
 func overhead(t *Trial) error {
 	c := t.cluster()
 	// Direct calls are unknown to the instances and need slots of their own.
-	c.Setup = func(w *worker.Worker) { w.Slots *= 4 }
+	c.Setup = func(w *worker.Worker) { w.Slots, w.Spin = 4*w.Slots, true }
 	if err := c.Start(t.ctx); err != nil {
 		return err
 	}
@@ -117,7 +118,7 @@
 	if err != nil {
 		return 0, false
 	}
-	req.Header.Set(worker.TimeHeader, "2000") // overheadService in microseconds
+	req.Header.Set(worker.TimeHeader, strconv.FormatInt(overheadService.Microseconds(), 10))
 	start := time.Now()
 	resp, err := o.client.Do(req)
 	if err != nil {
--- a/internal/standin/worker/worker.go
+++ b/internal/standin/worker/worker.go
@@ -5,6 +5,7 @@
 	"io"
 	"math"
 	"net/http"
+	"runtime"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -26,6 +27,7 @@
 	Slots  int                  // Calls at a time; more wait in Queue or are shed with the documented refusal.
 	Queue  int                  // Calls that wait for a slot; 0 sheds at once.
 	Time   func() time.Duration // Service time of a call without TimeHeader; nil means none.
+	Spin   bool                 // Spin spends the service time on a processor: a timer may end a millisecond late.
 	Cost   time.Duration        // Time that a probe takes.
 	Cold   int                  // Number of first calls that take three times as long.
 	Lag    time.Duration        // Age of the load that is reported; 0 means the present load.
@@ -149,6 +151,12 @@
 	if d == 0 {
 		return true
 	}
+	if s.Spin {
+		for start := time.Now(); time.Since(start) < d; {
+			runtime.Gosched()
+		}
+		return true
+	}
 	limit := d
 	if ms, err := strconv.Atoi(r.Header.Get("Sardine-Deadline")); err == nil {
 		limit = min(d, time.Duration(ms)*time.Millisecond)
