Count goodput by the time at the backend servers

Cause: timers of the stand-ins end up to a millisecond late, so planned service times understate how long a slot was used. Change: the answer carries the time that the call ran. Conclusion: goodput loses only what the instances lose.

--- a/internal/load/driver/call.go
+++ b/internal/load/driver/call.go
@@ -157,5 +157,7 @@
 	case !strings.HasSuffix(string(text), "\n"+c.Name+"\n"):
 		return recorder.Foreign, "answer of another call"
 	}
+	took, _ := strconv.Atoi(resp.Header.Get(worker.TookHeader))
+	c.Took = time.Duration(took) * time.Microsecond
 	return recorder.Served, ""
 }
--- a/internal/load/recorder/call.go
+++ b/internal/load/recorder/call.go
@@ -35,6 +35,7 @@
 	Name     string
 	Start    time.Time     // Intended send time.
 	Latency  time.Duration // From the intended send time to the end of the last attempt.
+	Took     time.Duration // Time of a served call at its backend server.
 	Attempts []Attempt
 }
 
--- a/internal/load/recorder/recorder.go
+++ b/internal/load/recorder/recorder.go
@@ -79,12 +79,13 @@
 	}
 }
 
-// SlotTime sums the planned service time of the served calls.
+// SlotTime sums the time that the served calls took at their backend servers.
+// It is not the planned time, as the stand-ins' timers end up to a millisecond late.
 func SlotTime(calls []Call) time.Duration {
 	var sum time.Duration
 	for i := range calls {
 		if calls[i].Outcome() == Served {
-			sum += calls[i].Arrival.Service
+			sum += calls[i].Took
 		}
 	}
 	return sum
--- a/internal/standin/worker/worker.go
+++ b/internal/standin/worker/worker.go
@@ -19,6 +19,7 @@
 	CallHeader  = "Trial-Call"  // Name of the call, the same in each attempt; echoed in the answer.
 	TokenHeader = "Trial-Token" // Name of one attempt.
 	TimeHeader  = "Trial-Time"  // Service time in microseconds.
+	TookHeader  = "Trial-Took"  // In the answer: how long the call ran, in microseconds.
 )
 
 // Worker is a backend server; the exported fields are set before it serves.
@@ -135,7 +136,9 @@
 	}
 	var rank parser.Rank
 	_ = rank.UnmarshalText([]byte(r.Header.Get("Sardine-Rank")))
-	s.Work[rank].Add(int64(time.Since(start)))
+	took := time.Since(start)
+	s.Work[rank].Add(int64(took))
+	w.Header().Set(TookHeader, strconv.FormatInt(took.Microseconds(), 10))
 	s.Served.Add(1)
 	w.Header().Set("Content-Type", "text/plain")
 	_, _ = fmt.Fprintf(w, "%s %s %s %d\n", s.Name, r.Method, r.URL.Path, len(body))
