Read control traffic from the byte counts of links

Cause: the operators' listener will serve bytes by kind of stream. Change: the sampler sums the counter of one kind in both directions.

--- a/internal/load/sampler/sampler.go
+++ b/internal/load/sampler/sampler.go
@@ -2,7 +2,6 @@
 
 import (
 	"net/http"
-	"strings"
 	"time"
 
 	"github.com/pkg/errors"
@@ -56,9 +55,9 @@
 	return (m.Busy - before.Busy) / (m.Total - before.Total)
 }
 
-// Counters sums all counters at url whose name contains each of words. It
+// Counter sums the counters name at url that have a label with value. It
 // returns false when there is none.
-func Counters(url string, words ...string) (sum float64, found bool) {
+func Counter(url, name, value string) (sum float64, found bool) {
 	client := http.Client{Timeout: time.Second}
 	resp, err := client.Get(url)
 	if err != nil {
@@ -70,22 +69,12 @@
 	if err != nil || resp.StatusCode != http.StatusOK {
 		return 0, false
 	}
-	for name, family := range families {
-		if !containsAll(name, words) {
-			continue
-		}
-		for _, m := range family.GetMetric() {
-			sum, found = sum+m.GetCounter().GetValue(), true
+	for _, m := range families[name].GetMetric() {
+		for _, l := range m.GetLabel() {
+			if l.GetValue() == value {
+				sum, found = sum+m.GetCounter().GetValue(), true
+			}
 		}
 	}
 	return sum, found
 }
-
-func containsAll(name string, words []string) bool {
-	for _, w := range words {
-		if !strings.Contains(name, w) {
-			return false
-		}
-	}
-	return true
-}
--- /dev/null
+++ b/internal/load/sampler/sampler_test.go
@@ -0,0 +1,44 @@
+package sampler_test
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"testing"
+
+	"sardinelever.example/sardinelever/internal/load/sampler"
+)
+
+const metrics = `# TYPE bytes_total counter
+bytes_total{direction="in",kind="control"} 5
+bytes_total{direction="out",kind="control"} 7
+bytes_total{direction="in",kind="grant"} 100
+`
+
+type page struct{}
+
+func (page) ServeHTTP(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte(metrics)) }
+
+// TestCounter guards against control traffic that is reported with the
+// traffic of calls, or as zero when there is no such metric.
+func TestCounter(t *testing.T) {
+	s := httptest.NewServer(page{})
+	defer s.Close()
+	if got, ok := sampler.Counter(s.URL, "bytes_total", "control"); got != 12 || !ok {
+		t.Errorf("got %v, %v, want 12, true", got, ok)
+	}
+	if got, ok := sampler.Counter(s.URL, "other_total", "control"); ok {
+		t.Errorf("got %v for an unknown metric, want none", got)
+	}
+}
+
+// TestProcess guards against figures of processor and memory that stay zero.
+func TestProcess(t *testing.T) {
+	s, err := sampler.Process(os.Getpid())
+	if err != nil || s.Memory <= 0 {
+		t.Errorf("got %+v, %v, want memory in use", s, err)
+	}
+	if m := sampler.ReadMachine(); m.Total <= 0 || m.Busy > m.Total {
+		t.Errorf("got %+v, want busy time within the total", m)
+	}
+}
--- a/internal/load/scenarist/usage.go
+++ b/internal/load/scenarist/usage.go
@@ -32,9 +32,9 @@
 	}
 }
 
-// control returns the bytes of control traffic of an instance so far.
+// control returns the bytes of control traffic of an instance so far, in both directions.
 func control(i *launcher.Instance) (float64, bool) {
-	return sampler.Counters(fmt.Sprintf("http://%s/metrics", i.Settings.Operator), "control", "bytes")
+	return sampler.Counter(fmt.Sprintf("http://%s/metrics", i.Settings.Operator), "sardinelever_link_bytes_total", "control")
 }
 
 // maxMachine is the share of the machine above which calls wait for a
