Take ports of instances in turn

Change: each process takes ports in turn from a place of its own. Conclusion: no port is given twice before its listener opens.

--- a/internal/standin/launcher/launcher.go
+++ b/internal/standin/launcher/launcher.go
@@ -9,6 +9,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -86,17 +87,24 @@
 	return nil
 }
 
-// Ports are drawn below the range from which the system takes the ports of
-// outgoing connections, as one of those could take a port before its listener opens.
+// Ports are taken below the range from which the system takes the ports of
+// outgoing connections, as one of those could take a port before its listener
+// opens. Each process takes them in turn from a place of its own, so that none
+// is given twice before its listener opens.
 const firstPort, lastPort = 10000, 32000
 
+var nextPort atomic.Uint32
+
+func init() { nextPort.Store(rand.Uint32N(lastPort - firstPort)) }
+
 func reserve(addr *netip.AddrPort) error {
 	if addr.IsValid() && addr.Port() != 0 {
 		return nil
 	}
 	var err error
 	for range 100 {
-		try := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), uint16(firstPort+rand.N(lastPort-firstPort)))
+		port := firstPort + nextPort.Add(1)%(lastPort-firstPort)
+		try := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), uint16(port))
 		var l net.Listener
 		if l, err = net.Listen("tcp", try.String()); err == nil {
 			_ = l.Close()
