--- a/internal/call/sender/sender.go
+++ b/internal/call/sender/sender.go
@@ -6,7 +6,6 @@
 	"net/http"
 	"net/http/httptrace"
 	"net/netip"
-	"net/textproto"
 	"sync"
 	"time"
 
@@ -60,7 +59,9 @@
 	}
 	reused := !l.used.IsZero()
 	l.conn.begin()
-	resp, err := l.RoundTrip(outgoing(httptrace.WithClientTrace(ctx, o.trace()), o))
+	i := &informer{inform: o.Inform}
+	defer i.end()
+	resp, err := l.RoundTrip(outgoing(httptrace.WithClientTrace(ctx, i.trace()), o))
 	if err == nil && resp.StatusCode == http.StatusSwitchingProtocols {
 		_ = resp.Body.Close()
 		_ = l.Close()
@@ -115,6 +116,15 @@
 	return p
 }
 
+// Active reports whether an exchange with server runs now or ended within age,
+// so that its state is known without a probe.
+func (s *Sender) Active(server netip.AddrPort, age time.Duration) bool {
+	s.mu.Lock()
+	p := s.pools[server]
+	s.mu.Unlock()
+	return p != nil && p.active(age)
+}
+
 // Keep forgets backend servers that are not among servers and have no
 // connection left, and closes the idle connections to them.
 func (s *Sender) Keep(servers map[netip.AddrPort]bool) {
@@ -149,17 +159,6 @@
 	return max(connections/n, leastConnections)
 }
 
-func (o *Order) trace() *httptrace.ClientTrace {
-	return &httptrace.ClientTrace{Got1xxResponse: o.inform}
-}
-
-func (o *Order) inform(status int, h textproto.MIMEHeader) error {
-	if o.Inform != nil && status != http.StatusContinue {
-		o.Inform(status, http.Header(h))
-	}
-	return nil
-}
-
 // failure returns the error of an attempt; an attempt that ctx ended has the
 // reason of ctx.
 func failure(ctx context.Context, o Outcome, reason string, err error) *Failure {
--- a/internal/fleet/linker/bench_test.go
+++ b/internal/fleet/linker/bench_test.go
@@ -7,22 +7,18 @@
 
 	"sardinelever.example/sardinelever/internal/config/parser"
 	"sardinelever.example/sardinelever/internal/fleet/linker"
+	"sardinelever.example/sardinelever/internal/standin/certifier"
 )
 
-func kinds() []struct {
+var kinds = []struct {
 	name  string
 	plain bool
-} {
-	return []struct {
-		name  string
-		plain bool
-	}{{"plain", true}, {"tls", false}}
-}
+}{{"plain", true}, {"tls", false}}
 
 func pair(b *testing.B, plain bool) (x, y *linker.Linker) {
 	var files parser.TLS
 	if !plain {
-		files = issue(b, b.TempDir(), newCA(b))
+		files = issue(b, b.TempDir(), &certifier.Authority{})
 	}
 	x = &linker.Linker{Name: "x", Plain: plain, TLS: files}
 	y = &linker.Linker{Name: "y", Plain: plain, TLS: files}
@@ -34,7 +30,7 @@
 // BenchmarkRoundTrip measures a message of 64 bytes and its answer on an open
 // stream.
 func BenchmarkRoundTrip(b *testing.B) {
-	for _, k := range kinds() {
+	for _, k := range kinds {
 		b.Run(k.name, func(b *testing.B) {
 			x, y := pair(b, k.plain)
 			c, err := x.Open(b.Context(), y.Addr(), linker.Call)
@@ -57,7 +53,7 @@
 
 // BenchmarkOpen measures opening a stream, one exchange and closing.
 func BenchmarkOpen(b *testing.B) {
-	for _, k := range kinds() {
+	for _, k := range kinds {
 		b.Run(k.name, func(b *testing.B) {
 			x, y := pair(b, k.plain)
 			p := make([]byte, 64)
@@ -79,7 +75,7 @@
 
 // BenchmarkSession measures the memory of one end of an idle session.
 func BenchmarkSession(b *testing.B) {
-	for _, k := range kinds() {
+	for _, k := range kinds {
 		b.Run(k.name, func(b *testing.B) {
 			x, y := pair(b, k.plain)
 			const n = 200
--- a/internal/instance/runner/attempt.go
+++ b/internal/instance/runner/attempt.go
@@ -19,6 +19,7 @@
 // attempts makes the attempts of one call.
 type attempts struct {
 	*pipe
+	guard *answerer.Guard
 	w     http.ResponseWriter
 	r     *http.Request
 	call  *classifier.Call
@@ -34,10 +35,12 @@
 func (t *attempts) try(ctx context.Context, a *retrier.Attempt) (*answer, error) {
 	c := t.call
 	need := asker.Need{Service: c.Service.Name, Rank: c.Rank, Deadline: c.Deadline, Avoid: a.Avoid()}
+	asked := time.Now()
 	slot, err := t.asker.Acquire(ctx, need)
 	if err != nil {
 		return nil, err
 	}
+	t.attempted(a.Number, time.Since(asked))
 	a.Use(slot.Server)
 	body, ok := t.body.Next()
 	if !ok {
@@ -46,11 +49,16 @@
 	}
 	o := &sender.Order{
 		Call: c, Request: t.r, Body: body, Server: slot.Server, Attempt: c.Attempt + a.Number - 1,
-		Budget: a.Budget, Fresh: a.Number > 1, Inform: t.inform,
+		Budget: a.Budget, Inform: t.inform,
+		// Only a first attempt that can be hedged may meet a silent connection.
+		Fresh: a.Number > 1 || !t.hedge,
 	}
 	if t.hedge {
 		o.Inform = nil // Two attempts must not write to the caller at a time.
 	}
+	if !t.hedge {
+		t.guard.Send()
+	}
 	start := time.Now()
 	resp, err := t.sender.Send(ctx, o)
 	result := measure(resp, err, time.Since(start))
@@ -64,6 +72,19 @@
 	return nil, err
 }
 
+// attempted counts an attempt that waited for its slot.
+func (t *attempts) attempted(number int, wait time.Duration) {
+	if t.meter == nil {
+		return
+	}
+	kind := "first"
+	if number > 1 {
+		kind = "again"
+	}
+	t.meter.Attempts.WithLabelValues(t.call.Service.Name, kind).Inc()
+	t.meter.Wait.WithLabelValues(t.call.Service.Name, t.call.Rank.String()).Observe(wait.Seconds())
+}
+
 func (t *attempts) inform(status int, h http.Header) { answerer.Inform(t.w, status, h) }
 
 // answer is the answer of a backend server, whose slot is still occupied.
--- a/internal/standin/breaker/doc.go
+++ b/internal/standin/breaker/doc.go
@@ -1,3 +1,4 @@
-// Package breaker is a TCP forwarder for tests that makes connections silent,
-// cuts them or holds them up, as faults of a network do.
+// Package breaker breaks connections in tests, as faults of a network do:
+// Breaker and Path forward connections that can go silent, Gate refuses paths
+// between instances.
 package breaker
