--- a/internal/standin/worker/worker.go
+++ b/internal/standin/worker/worker.go
@@ -5,6 +5,7 @@
 	"io"
 	"math"
 	"net/http"
+	"runtime"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -18,6 +19,7 @@
 	CallHeader  = "Trial-Call"  // Name of the call, the same in each attempt; echoed in the answer.
 	TokenHeader = "Trial-Token" // Name of one attempt.
 	TimeHeader  = "Trial-Time"  // Service time in microseconds.
+	TookHeader  = "Trial-Took"  // In the answer: how long the call ran, in microseconds.
 )
 
 // Worker is a backend server; the exported fields are set before it serves.
@@ -26,6 +28,7 @@
 	Slots  int                  // Calls at a time; more wait in Queue or are shed with the documented refusal.
 	Queue  int                  // Calls that wait for a slot; 0 sheds at once.
 	Time   func() time.Duration // Service time of a call without TimeHeader; nil means none.
+	Spin   bool                 // Spin spends the service time on a processor: a timer may end a millisecond late.
 	Cost   time.Duration        // Time that a probe takes.
 	Cold   int                  // Number of first calls that take three times as long.
 	Lag    time.Duration        // Age of the load that is reported; 0 means the present load.
@@ -42,6 +45,7 @@
 	Work     [parser.Ranks]atomic.Int64
 
 	factor  atomic.Uint64 // Bits of the slowdown factor; 0 means 1.
+	told    atomic.Int64  // Time of the first answer with the drain signal, likewise.
 	last    atomic.Int64  // Arrival of the latest call in nanoseconds since 1970.
 	busy    atomic.Int64  // Calls running or waiting.
 	running atomic.Int64
@@ -65,6 +69,14 @@
 // LastCall returns when the latest call arrived, shed calls included.
 func (s *Worker) LastCall() time.Time { return time.Unix(0, s.last.Load()) }
 
+// Told returns when the first answer carried the drain signal, the zero time if none did.
+func (s *Worker) Told() time.Time {
+	if ns := s.told.Load(); ns != 0 {
+		return time.Unix(0, ns)
+	}
+	return time.Time{}
+}
+
 // Runs returns how many times the call with identity id was run.
 func (s *Worker) Runs(id string) int {
 	s.mu.Lock()
@@ -133,7 +145,9 @@
 	}
 	var rank parser.Rank
 	_ = rank.UnmarshalText([]byte(r.Header.Get("Sardine-Rank")))
-	s.Work[rank].Add(int64(time.Since(start)))
+	took := time.Since(start)
+	s.Work[rank].Add(int64(took))
+	w.Header().Set(TookHeader, strconv.FormatInt(took.Microseconds(), 10))
 	s.Served.Add(1)
 	w.Header().Set("Content-Type", "text/plain")
 	_, _ = fmt.Fprintf(w, "%s %s %s %d\n", s.Name, r.Method, r.URL.Path, len(body))
@@ -149,6 +163,12 @@
 	if d == 0 {
 		return true
 	}
+	if s.Spin {
+		for start := time.Now(); time.Since(start) < d; {
+			runtime.Gosched()
+		}
+		return true
+	}
 	limit := d
 	if ms, err := strconv.Atoi(r.Header.Get("Sardine-Deadline")); err == nil {
 		limit = min(d, time.Duration(ms)*time.Millisecond)
@@ -216,5 +236,6 @@
 	w.Header().Set("Sardine-Load", fmt.Sprintf("%d/%d", busy, s.Slots))
 	if s.Draining.Load() {
 		w.Header().Set("Sardine-Drain", "1")
+		s.told.CompareAndSwap(0, time.Now().UnixNano())
 	}
 }
