--- a/internal/load/scenarist/scenario.go
+++ b/internal/load/scenarist/scenario.go
@@ -38,6 +38,7 @@
 		{"probes", "Does measuring stay within the budget of each backend server in every second?", probes},
 		{"split", "Do both sides serve, and is nothing wrong, while a zone is separated from the others?", split},
 		{"mishaps", "Is nothing wrong when two failures come at random times?", mishaps},
+		{"capacity", "How do processor, memory and control traffic of an instance grow with services, backend servers and changes?", capacity},
 	}
 }
 
