Check the settings margin and policy, and add level

Cause: a negative margin and an unknown policy were accepted without a word; a short margin breaks the rule of identified calls (package deduper).

--- a/internal/config/parser/check.go
+++ b/internal/config/parser/check.go
@@ -16,6 +16,13 @@
 	maxSlots    = 1 << 16
 	maxDeadline = 24 * time.Hour // The header Sardine-Deadline has the same limit.
 	maxFloors   = 0.5
+
+	// Below 10 s for reading the list and 5 s for the clocks of callers, the
+	// rule of identified calls does not hold (package deduper). After a change
+	// of its place an identity is unknown for the margin, so a long one only
+	// costs; 10 min is the time for which identities are kept.
+	minMargin = 15 * time.Second
+	maxMargin = 10 * time.Minute
 )
 
 var (
@@ -97,9 +104,19 @@
 		}
 	}
 	number(c, "notice", s.Notice, Duration(time.Millisecond), Duration(time.Hour))
+	number(c, "margin", s.Margin, Duration(minMargin), Duration(maxMargin))
+	c.word("policy", s.Policy, "grant", "random", "round", "least")
+	c.word("level", s.Level, "debug", "info", "warn", "error")
 	c.tls(s)
 }
 
+// word records a mistake when the file sets the key at path to none of words.
+func (c *checker) word(path, v string, words ...string) {
+	if c.has(path) && !slices.Contains(words, v) {
+		c.add(path, "%q is none of %s", v, strings.Join(words, ", "))
+	}
+}
+
 func (c *checker) listeners(s *Settings) {
 	seen := make(map[netip.AddrPort]string)
 	for _, l := range []struct {
--- a/internal/config/parser/defaults.go
+++ b/internal/config/parser/defaults.go
@@ -20,6 +20,7 @@
 const (
 	DefaultRegion = "home"
 	DefaultNotice = 5 * time.Second
+	DefaultLevel  = "info"
 )
 
 // spacing is one second, in which the probe budget is counted, and twice the
@@ -67,6 +68,7 @@
 func (s Settings) WithDefaults() Settings {
 	preset(&s.Region, DefaultRegion)
 	preset(&s.Notice, Duration(DefaultNotice))
+	preset(&s.Level, DefaultLevel)
 	return s
 }
 
--- a/internal/config/parser/settings.go
+++ b/internal/config/parser/settings.go
@@ -15,6 +15,7 @@
 	Plain    bool           `toml:"plain,omitempty"`  // Plain allows unencrypted links between instances.
 	Margin   Duration       `toml:"margin,omitempty"` // Lag of the platform's list, clock error and 10s together; 0 means 30s.
 	Policy   string         `toml:"policy,omitempty"` // Dispatch: grant, random, round or least; empty means grant.
+	Level    string         `toml:"level,omitempty"`  // Least level of log lines: debug, info, warn or error; empty means info.
 	TLS      TLS            `toml:"tls,omitempty"`
 }
 
