Exit with status 3 on a second signal, and print all mistakes of settings

TestProcess released its call before SIGTERM, so it did not show that a stop waits for a call in flight. TestProcess now sends SIGTERM while the call is held at the backend server.

--- a/cmd/sardinelever/check.go
+++ b/cmd/sardinelever/check.go
@@ -81,3 +81,8 @@
 		all.Mistakes = append(all.Mistakes, m.Mistakes...)
 	}
 }
+
+// Help returns the exit codes.
+func (checkCommand) Help() string {
+	return "Exit status: 0 when the files are accepted; 1 when one is refused (every mistake is printed) or cannot be read; 2 for wrong arguments."
+}
--- a/cmd/sardinelever/collect.go
+++ b/cmd/sardinelever/collect.go
@@ -60,3 +60,8 @@
 	}
 	return parser.ParseBundle(file, text)
 }
+
+// Help returns the exit codes.
+func (collectCommand) Help() string {
+	return "Exit status: 0 when the bundle is written; 1 when a file is refused (every mistake is printed) or cannot be read or written; 2 for wrong arguments."
+}
--- a/cmd/sardinelever/diff.go
+++ b/cmd/sardinelever/diff.go
@@ -52,3 +52,8 @@
 	}
 	return parser.ParseBundle(c.After, text)
 }
+
+// Help returns the exit codes.
+func (diffCommand) Help() string {
+	return "Exit status: 0 when the bundles were compared, equal or not; 1 when one is refused or cannot be read; 2 for wrong arguments."
+}
--- a/cmd/sardinelever/exit.go
+++ b/cmd/sardinelever/exit.go
@@ -12,10 +12,12 @@
 const (
 	kongUsage = 80 // Status with which kong reports wrong arguments.
 	exitUsage = 2
+
+	exitSignal = 3 // A second SIGTERM or SIGINT cut off the graceful stop.
 )
 
 // exit ends the process with code: 0 after success, 1 after a refusal or an
-// error, 2 after wrong arguments.
+// error, 2 after wrong arguments, 3 after a second signal.
 func exit(code int) {
 	if code == kongUsage {
 		code = exitUsage
--- a/cmd/sardinelever/main.go
+++ b/cmd/sardinelever/main.go
@@ -22,11 +22,18 @@
 	Try     tryCommand     `cmd:"" help:"Run a whole deployment inside this process and print an account."`
 }
 
+const description = `Load balancer for servers whose load shifts in milliseconds.
+
+Exit status: 0 success, 1 refusal or error, 2 wrong arguments, 3 ended at once by a second SIGTERM or SIGINT.`
+
 func main() {
 	var c commands
-	k := kong.Parse(&c, kong.Name("sardinelever"), kong.Description("Load balancer for servers whose load shifts in milliseconds."), kong.UsageOnError(), kong.Exit(exit))
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	k := kong.Parse(&c, kong.Name("sardinelever"), kong.Description(description), kong.UsageOnError(), kong.Exit(exit))
+	ctx, stop := context.WithCancel(context.Background())
 	defer stop()
+	i := &interrupter{signals: make(chan os.Signal, 2), stop: stop}
+	signal.Notify(i.signals, os.Interrupt, syscall.SIGTERM)
+	go i.loop()
 	k.BindTo(ctx, (*context.Context)(nil))
 	k.FatalIfErrorf(k.Run())
 }
--- a/cmd/sardinelever/operator.go
+++ b/cmd/sardinelever/operator.go
@@ -76,3 +76,8 @@
 	_, err = io.Copy(os.Stdout, resp.Body)
 	return errors.Wrap(err, path)
 }
+
+// Help returns the exit codes.
+func (operatorFlags) Help() string {
+	return "Exit status: 0 when the text was printed; 1 when the instance does not answer; 2 for wrong arguments."
+}
--- a/cmd/sardinelever/process_test.go
+++ b/cmd/sardinelever/process_test.go
@@ -3,11 +3,14 @@
 import (
 	"io"
 	"net/http"
+	"os/exec"
 	"strings"
 	"syscall"
 	"testing"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"sardinelever.example/sardinelever/internal/config/parser"
 	"sardinelever.example/sardinelever/internal/standin/launcher"
 	"sardinelever.example/sardinelever/internal/standin/stager"
@@ -16,45 +19,114 @@
 // TestProcess guards against an instance process that does not carry a call
 // from a caller to a backend server, or that cuts it off while it stops.
 func TestProcess(t *testing.T) {
-	release := make(chan time.Time)
+	d := deploy(t)
+	d.hold(t)
+	if err := d.Signal(syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	d.awaitStop(t)
+	d.release <- true
+	if got, want := <-d.answer, "guidance-0 POST /book 5\n"; got != want {
+		t.Errorf("got answer %q, want %q", got, want)
+	}
+	<-d.Done()
+	if got := d.Err(); got != nil {
+		t.Errorf("got exit %v, want status 0", got)
+	}
+}
+
+// TestSecondSignal guards against an instance process that an operator cannot
+// end while a call in flight holds its graceful stop.
+func TestSecondSignal(t *testing.T) {
+	for _, second := range []syscall.Signal{syscall.SIGTERM, syscall.SIGINT} {
+		d := deploy(t)
+		d.hold(t)
+		if err := d.Signal(syscall.SIGTERM); err != nil {
+			t.Fatal(err)
+		}
+		d.awaitStop(t)
+		if err := d.Signal(second); err != nil {
+			t.Fatal(err)
+		}
+		<-d.Done()
+		var e *exec.ExitError
+		if got := d.Err(); !errors.As(got, &e) || e.ExitCode() != 3 {
+			t.Errorf("got exit %v after a second %v, want status 3", got, second)
+		}
+		d.release <- true
+		<-d.answer
+	}
+}
+
+// deployment is an instance process with one backend server, which holds a
+// call until it is released.
+type deployment struct {
+	*launcher.Instance
+	arrived, release chan bool
+	answer           chan string
+}
+
+func deploy(t *testing.T) *deployment {
+	d := &deployment{arrived: make(chan bool, 1), release: make(chan bool, 1), answer: make(chan string, 1)}
 	s := &stager.Stager{Groups: []stager.Group{{
-		Service: parser.Service{Name: "guidance", Slots: 2}, Count: 1,
-		Time: func() time.Duration { <-release; return 0 },
+		Service: parser.Service{Name: "guidance", Slots: 2}, Count: 1, Time: d.wait,
 	}}}
 	if err := s.Start(); err != nil {
 		t.Fatal(err)
 	}
-	defer s.Stop()
+	t.Cleanup(s.Stop)
 	l := &launcher.Launcher{Dir: t.TempDir()}
 	if err := l.Build(); err != nil {
 		t.Fatal(err)
 	}
-	i, err := l.Start(&parser.Settings{Name: "one", Zone: "a", Platform: s.URL, Notice: parser.Duration(time.Millisecond), Plain: true})
-	if err != nil {
+	settings := &parser.Settings{Name: "one", Zone: "a", Platform: s.URL, Notice: parser.Duration(time.Millisecond), Plain: true}
+	var err error
+	if d.Instance, err = l.Start(settings); err != nil {
 		t.Fatal(err)
 	}
-	defer func() { _ = i.Signal(syscall.SIGKILL) }()
-	if err := i.Await(20 * time.Second); err != nil {
+	t.Cleanup(d.kill)
+	if err := d.Await(20 * time.Second); err != nil {
 		t.Fatal(err)
 	}
-	answer := make(chan string, 1)
-	c := &caller{url: i.URL() + "/guidance/book", answer: answer}
+	return d
+}
+
+func (d *deployment) kill() {
+	_ = d.Signal(syscall.SIGKILL)
+	<-d.Done()
+}
+
+func (d *deployment) wait() time.Duration {
+	d.arrived <- true
+	<-d.release
+	return 0
+}
+
+// hold sends a call and returns when the backend server runs it.
+func (d *deployment) hold(t *testing.T) {
+	t.Helper()
+	c := &caller{url: d.URL() + "/guidance/book", answer: d.answer}
 	go c.run()
 	select {
-	case release <- time.Time{}: // The call is at the backend server.
-	case got := <-answer:
+	case <-d.arrived:
+	case got := <-d.answer:
 		t.Fatalf("got answer %q before the backend server ran the call", got)
 	}
-	if err := i.Signal(syscall.SIGTERM); err != nil {
-		t.Fatal(err)
-	}
-	close(release)
-	if got, want := <-answer, "guidance-0 POST /book 5\n"; got != want {
-		t.Errorf("got answer %q, want %q", got, want)
-	}
-	<-i.Done()
-	if got := i.Err(); got != nil {
-		t.Errorf("got exit %v, want status 0", got)
+}
+
+// awaitStop returns when the instance has taken in the first signal.
+func (d *deployment) awaitStop(t *testing.T) {
+	t.Helper()
+	for {
+		resp, err := http.Get("http://" + d.Settings.Operator.String() + "/ready")
+		if err != nil {
+			t.Fatalf("got error %v, want a readiness answer while a call is in flight", err)
+		}
+		_ = resp.Body.Close()
+		if resp.StatusCode == http.StatusServiceUnavailable {
+			return
+		}
+		time.Sleep(time.Millisecond)
 	}
 }
 
--- a/cmd/sardinelever/run.go
+++ b/cmd/sardinelever/run.go
@@ -4,15 +4,18 @@
 	"context"
 	"os"
 
+	"github.com/phuslu/log"
+
 	"sardinelever.example/sardinelever/internal/config/parser"
 	"sardinelever.example/sardinelever/internal/instance/runner"
 )
 
 type runCommand struct {
-	Settings string `arg:"" type:"existingfile" help:"TOML settings file of the instance."`
+	Settings string `arg:"" help:"TOML settings file of the instance."`
 }
 
-// Run serves until the process is told to stop.
+// Run serves until the process is told to stop by SIGTERM or SIGINT. A second
+// signal ends the process at once.
 func (c *runCommand) Run(ctx context.Context) error {
 	text, err := os.ReadFile(c.Settings)
 	if err != nil {
@@ -20,7 +23,14 @@
 	}
 	s, err := parser.ParseSettings(c.Settings, text)
 	if err != nil {
-		return err
+		return refuse(err)
 	}
+	// Parts without a Log of their own write to the default one.
+	log.DefaultLogger.SetLevel(log.ParseLevel(s.Level))
 	return (&runner.Runner{Settings: s}).Run(ctx)
 }
+
+// Help returns the exit codes.
+func (runCommand) Help() string {
+	return "Exit status: 0 after a graceful stop by SIGTERM or SIGINT; 1 when the settings are refused (every mistake is printed) or the instance fails; 2 for wrong arguments; 3 when a second signal cut off the stop."
+}
--- a/cmd/sardinelever/try.go
+++ b/cmd/sardinelever/try.go
@@ -134,3 +134,8 @@
 	}
 	return served, nil
 }
+
+// Help returns the exit codes.
+func (tryCommand) Help() string {
+	return "Exit status: 0 when every call was served; 1 when one was not; 2 for wrong arguments; 3 when a second signal cut off the stop."
+}
