Mend log lines and audit entries that read badly

Cause: audit lines of the log had a prefix outside the style, lines of yamux had none; an audit entry with several mistakes broke the table of audit; entries that joined or left the list had an empty column; the end of a held list was recorded as another loss; "own signal" and "load report" did not say what ended or began a drain. A failed peers' listener left the operators' listener open.

--- a/internal/fleet/linker/linker.go
+++ b/internal/fleet/linker/linker.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"net"
 	"net/netip"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -321,6 +323,8 @@
 // matters also ends a session, which is reported as an error.
 type logger struct{}
 
-func (logger) Print(v ...any)                 { log.Debug().Msgs(v...) }
+func (logger) Print(v ...any)                 { log.Debug().Msg("fleet: " + fmt.Sprint(v...)) }
 func (logger) Printf(format string, v ...any) { log.Debug().Msgf("fleet: "+format, v...) }
-func (logger) Println(v ...any)               { log.Debug().Msgs(v...) }
+func (logger) Println(v ...any) {
+	log.Debug().Msg("fleet: " + strings.TrimSuffix(fmt.Sprintln(v...), "\n"))
+}
--- a/internal/instance/runner/join.go
+++ b/internal/instance/runner/join.go
@@ -65,7 +65,7 @@
 // resume drops what a pause of the process made stale.
 func (p *parts) resume(gap time.Duration) {
 	p.audit.Note(auditor.Change{
-		Part: "instance", Subject: p.settings.Name, Cause: "process was paused", Before: gap.String(), After: "stale figures dropped",
+		Part: "instance", Subject: p.settings.Name, Cause: "process was paused for " + gap.String(), Before: "figures in use", After: "figures dropped",
 	})
 	p.granter.Resume()
 }
--- a/internal/instance/runner/runner.go
+++ b/internal/instance/runner/runner.go
@@ -111,6 +111,7 @@
 	}
 	if err := p.linker.Bind(); err != nil {
 		_ = l.Close()
+		_ = s.operator.Close()
 		return nil, errors.Wrap(err, "peers' listener")
 	}
 	g.Go(serve(s.callers, l))
@@ -151,7 +152,7 @@
 	r.ready.Store(false)
 	p.members.Leave()
 	notice := r.Settings.WithDefaults().Notice.Std()
-	r.Log.Info().Dur("notice", notice).Msg("instance: stops; the listener serves for the notice")
+	r.Log.Info().Dur("notice", notice).Msg("instance: stopping; calls are accepted until the notice ends")
 	time.Sleep(notice)
 	// No timeout: calls in flight finish within their own deadlines.
 	_ = s.callers.Shutdown(context.Background())
--- a/internal/operator/auditor/auditor.go
+++ b/internal/operator/auditor/auditor.go
@@ -38,8 +38,8 @@
 	if l == nil {
 		l = &log.DefaultLogger
 	}
-	l.Info().Str("part", c.Part).Str("subject", c.Subject).Str("cause", c.Cause).
-		Str("before", c.Before).Str("after", c.After).Msg("audit: change")
+	l.Info().Str("subject", c.Subject).Str("cause", c.Cause).
+		Str("before", c.Before).Str("after", c.After).Msg(c.Part + ": audited change")
 }
 
 // Changes returns the recorded changes, oldest first.
--- a/internal/operator/reporter/reporter.go
+++ b/internal/operator/reporter/reporter.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"net/http/pprof"
+	"strings"
 	"text/tabwriter"
 	"time"
 
@@ -65,11 +66,14 @@
 	})
 }
 
+// line puts a cause of several lines, such as the mistakes of a bundle, on one.
+var line = strings.NewReplacer("\n", "; ", "\t", " ")
+
 func (p *Reporter) serveAudit(w http.ResponseWriter, _ *http.Request) {
 	writeTable(w, func(w io.Writer) {
 		for _, c := range p.Audit.Changes() {
 			_, _ = fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t->\t%s\n",
-				c.Time.UTC().Format(time.RFC3339Nano), c.Part, c.Subject, c.Cause, c.Before, c.After)
+				c.Time.UTC().Format(time.RFC3339Nano), c.Part, c.Subject, line.Replace(c.Cause), c.Before, c.After)
 		}
 	})
 }
--- a/internal/platform/reader/list_follower.go
+++ b/internal/platform/reader/list_follower.go
@@ -114,7 +114,11 @@
 		f.read.Store(start.UnixNano())
 	}
 	if !old && !slices.Equal(held, f.held) {
-		f.note("list", "lost more than half of a kind", kinds(f.held), kinds(held))
+		cause := "lost more than half of a kind"
+		if len(held) == 0 {
+			cause = "is applied in full again"
+		}
+		f.note("list", cause, kinds(f.held), kinds(held))
 		f.held = held
 	}
 	f.list.Store(believed)
@@ -140,13 +144,13 @@
 		b, known := old[id(&e)]
 		delete(old, id(&e))
 		if !known {
-			f.note(e.Name, "joined the list", "", describe(e))
+			f.note(e.Name, "joined the list", "not listed", describe(e))
 		} else if b != e {
 			f.note(e.Name, "changed in the list", describe(b), describe(e))
 		}
 	}
 	for _, e := range old {
-		f.note(e.Name, "left the list", describe(e), "")
+		f.note(e.Name, "left the list", describe(e), "not listed")
 	}
 }
 
--- a/internal/route/tracker/pool.go
+++ b/internal/route/tracker/pool.go
@@ -118,7 +118,7 @@
 		p.drain(now, s, f.Drain)
 		if !f.Drain && !s.drainedAt.IsZero() {
 			s.drainedAt = time.Time{}
-			p.note(now, s, "load report", Draining.String(), s.State(now).String())
+			p.note(now, s, "probe without drain signal", Draining.String(), s.State(now).String())
 		}
 	}
 	// A probe measures the load endpoint and not a call: only its failure counts.
@@ -133,7 +133,7 @@
 	}
 	before := s.State(now)
 	s.drainedAt = now
-	p.note(now, s, "own signal", before.String(), Draining.String())
+	p.note(now, s, "drain signal", before.String(), Draining.String())
 }
 
 // judge updates latency, limit, failure window and ejection.
@@ -141,7 +141,7 @@
 	s.observe(now, r)
 	if r.Refused {
 		s.streak, s.cold = 0, false
-		p.setLimit(now, s, max(s.limit-1, 1), "refusal")
+		p.setLimit(now, s, max(s.limit-1, 1), "documented refusal")
 		return
 	}
 	s.count(now, p.Settings.Window, r.Failed)
