Pin status, explain and audit of a real instance by golden texts

Cause: nothing showed when the text that operators read changed; explain of an unknown service had a blank for the missing host. Change: TestSession asks an instance process while a call is in flight and replaces addresses, times and counts; the error names host and path.

--- a/cmd/sardinelever/process_test.go
+++ b/cmd/sardinelever/process_test.go
@@ -12,6 +12,7 @@
 	"github.com/pkg/errors"
 
 	"sardinelever.example/sardinelever/internal/config/parser"
+	"sardinelever.example/sardinelever/internal/platform/reader"
 	"sardinelever.example/sardinelever/internal/standin/launcher"
 	"sardinelever.example/sardinelever/internal/standin/stager"
 )
@@ -62,6 +63,7 @@
 // call until it is released.
 type deployment struct {
 	*launcher.Instance
+	binary           string
 	arrived, release chan bool
 	answer           chan string
 }
@@ -79,8 +81,14 @@
 	if err := l.Build(); err != nil {
 		t.Fatal(err)
 	}
+	d.binary = l.Binary()
 	settings := &parser.Settings{Name: "one", Zone: "a", Platform: s.URL, Notice: parser.Duration(time.Millisecond), Plain: true}
-	var err error
+	err := launcher.Reserve(settings)
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.Entries = append(s.Entries, reader.Entry{Name: "one", Address: settings.Callers, Peer: settings.Peers, Zone: "a", Region: "home"})
+	s.Platform.SetList(s.Entries)
 	if d.Instance, err = l.Start(settings); err != nil {
 		t.Fatal(err)
 	}
--- /dev/null
+++ b/cmd/sardinelever/session_test.go
@@ -0,0 +1,77 @@
+package main_test
+
+import (
+	"os"
+	"os/exec"
+	"regexp"
+	"slices"
+	"strings"
+	"testing"
+
+	"github.com/rogpeppe/go-internal/txtar"
+)
+
+// TestSession guards against changes of what status, explain, audit and
+// metrics show of a real instance. Values that differ from run to run are
+// replaced by words.
+func TestSession(t *testing.T) {
+	d := deploy(t)
+	d.hold(t)
+	const file = "testdata/session.golden"
+	want, err := txtar.ParseFile(file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for i := range want.Files {
+		f := &want.Files[i]
+		got := d.ask(t, strings.Fields(f.Name)...)
+		if strings.HasPrefix(f.Name, "audit") {
+			got = sorted(got) // Parts of the instance start side by side.
+		}
+		if got != string(f.Data) && os.Getenv("UPDATE") == "" {
+			t.Errorf("%s: got\n%s\nwant\n%s", f.Name, got, f.Data)
+		}
+		f.Data = []byte(got)
+	}
+	if os.Getenv("UPDATE") != "" {
+		if err := os.WriteFile(file, txtar.Format(want), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	d.release <- true
+	<-d.answer
+}
+
+// ask runs a command against the instance and returns its output in a form
+// that is the same in every run.
+func (d *deployment) ask(t *testing.T, args ...string) string {
+	t.Helper()
+	out, err := exec.Command(d.binary, append(args, "--operator", d.Settings.Operator.String())...).CombinedOutput()
+	if err != nil {
+		t.Fatalf("%q: %v: %s", args, err, out)
+	}
+	text := string(out)
+	for _, r := range variable {
+		text = r.pattern.ReplaceAllString(text, r.with)
+	}
+	return text
+}
+
+var variable = []struct {
+	pattern *regexp.Regexp
+	with    string
+}{
+	{regexp.MustCompile(`(?m)^\d{4}-\d\d-\d\dT\S+Z`), "TIME"},
+	{regexp.MustCompile(`127\.0\.0\.1:\d+`), "ADDRESS"},
+	{regexp.MustCompile(`incarnation=\d+`), "incarnation=NUMBER"},
+	{regexp.MustCompile(`(sum=|\d/)[0-9a-f]{16}`), "${1}SUM"},
+	{regexp.MustCompile(`\b(read|list|age|latency|wait)=[0-9.]+(ns|µs|ms|s)`), "$1=AGE"},
+	{regexp.MustCompile(`\b(config|sent|skipped|in|out)=\d+`), "$1=COUNT"},
+	{regexp.MustCompile(` {2,}`), "  "},
+}
+
+func sorted(text string) string {
+	lines := strings.SplitAfter(text, "\n")
+	slices.Sort(lines)
+	return strings.Join(lines, "")
+}
--- a/internal/call/classifier/classifier.go
+++ b/internal/call/classifier/classifier.go
@@ -37,7 +37,7 @@
 func Classify(m *mapper.Map, r *http.Request, now time.Time) (*Call, error) {
 	s, path := find(m, r)
 	if s == nil {
-		return nil, errors.Wrapf(ErrService, "%s %s", r.Host, r.URL.Path)
+		return nil, errors.Wrapf(ErrService, "host %q, path %q", r.Host, r.URL.Path)
 	}
 	c := &Call{Service: s, Path: path}
 	deadline := c.route(r)
