Count failed and truncated answers under the outcome failed

Cause: answers from status 500 on were counted as answered, and a truncated answer was not counted at all, because Copy ends it with a panic. Change: an answer is counted when Copy ends, as failed unless it is whole and below status 500. Goroutines of the tests are methods named run. Conclusion: TestMeter compares /metrics with what the caller was told; without the change it does not end.

--- a/internal/instance/runner/failure_test.go
+++ b/internal/instance/runner/failure_test.go
@@ -31,6 +31,7 @@
 type deployment struct {
 	t        *testing.T
 	url      string
+	operator string // URL of the operators' listener.
 	breakers []*breaker.Injector
 	runs     atomic.Int64
 	arrived  chan bool // Gets a value for each call to /hold.
@@ -86,6 +87,7 @@
 		time.Sleep(time.Millisecond)
 	}
 	d.url = "http://" + r.Address().String() + "/s"
+	d.operator = "http://" + settings.Operator.String()
 }
 
 // instance is a runner in this process.
@@ -238,16 +240,25 @@
 func TestCallerGone(t *testing.T) {
 	d := deploy(t, 1)
 	ctx, cancel := context.WithCancel(t.Context())
-	go func() {
-		<-d.arrived
-		cancel()
-	}()
+	c := &canceler{arrived: d.arrived, cancel: cancel}
+	go c.run()
 	if got, want := d.call(ctx, http.MethodPost, "/hold", "b", ""), "no answer"; got != want {
 		t.Errorf("got %q, want %q", got, want)
 	}
 	<-d.left
 }
 
+// canceler cancels a call when it has arrived.
+type canceler struct {
+	arrived <-chan bool
+	cancel  func()
+}
+
+func (c *canceler) run() {
+	<-c.arrived
+	c.cancel()
+}
+
 // TestSlowBody guards against a call that outlives its deadline because its
 // caller does not send the body.
 func TestSlowBody(t *testing.T) {
@@ -287,27 +298,37 @@
 	var g sync.WaitGroup
 	var whole atomic.Int64
 	for caller := range 16 {
-		g.Go(func() {
-			for i := range 40 {
-				body := strings.Repeat(fmt.Sprintf("%d.%d ", caller, i), 1+rand.IntN(2000))
-				path, deadline := "/echo", ""
-				switch i % 5 {
-				case 1:
-					path, deadline = "/hold", "5"
-				case 2:
-					deadline = fmt.Sprint(1 + rand.IntN(5))
-				}
-				got := d.call(t.Context(), http.MethodPost, path, body, deadline)
-				if got == "200 "+body {
-					whole.Add(1)
-				} else if strings.HasPrefix(got, "200") || deadline == "" {
-					t.Errorf("got %.40q, want the caller's own body %.20q", got, body)
-				}
-			}
-		})
+		m := &mixer{deployment: d, caller: caller, whole: &whole}
+		g.Go(m.run)
 	}
 	g.Wait()
 	if whole.Load() < 16*40*3/5 {
 		t.Errorf("got %d whole answers, want at least three in five", whole.Load())
 	}
 }
+
+// mixer is one of many callers at a time.
+type mixer struct {
+	*deployment
+	caller int
+	whole  *atomic.Int64 // Whole answers to all callers.
+}
+
+func (m *mixer) run() {
+	for i := range 40 {
+		body := strings.Repeat(fmt.Sprintf("%d.%d ", m.caller, i), 1+rand.IntN(2000))
+		path, deadline := "/echo", ""
+		switch i % 5 {
+		case 1:
+			path, deadline = "/hold", "5"
+		case 2:
+			deadline = fmt.Sprint(1 + rand.IntN(5))
+		}
+		got := m.call(m.t.Context(), http.MethodPost, path, body, deadline)
+		if got == "200 "+body {
+			m.whole.Add(1)
+		} else if strings.HasPrefix(got, "200") || deadline == "" {
+			m.t.Errorf("got %.40q, want the caller's own body %.20q", got, body)
+		}
+	}
+}
--- /dev/null
+++ b/internal/instance/runner/meter_test.go
@@ -0,0 +1,60 @@
+package runner_test
+
+import (
+	"bufio"
+	"net/http"
+	"slices"
+	"strings"
+	"testing"
+
+	"sardinelever.example/sardinelever/internal/standin/breaker"
+)
+
+// TestMeter guards against calls that the metrics leave out or count under
+// another outcome than the one that the caller was told.
+func TestMeter(t *testing.T) {
+	d := deploy(t, 1)
+	d.call(t.Context(), http.MethodPost, "/echo", "b", "")
+	d.call(t.Context(), http.MethodPost, "/foreign", "b", "")
+	d.call(t.Context(), http.MethodPost, "/refuse", "b", "")
+	d.call(t.Context(), http.MethodPost, "/hold", "b", "200")
+	<-d.arrived
+	<-d.left
+	d.breakers[0].Set(breaker.Fault{Kind: breaker.Reset, Up: -1, Down: 50_000})
+	d.call(t.Context(), http.MethodPost, "/echo", strings.Repeat("x", 100_000), "")
+	want := []string{
+		`sardinelever_calls_total{outcome="answered",rank="normal",service="s"} 1`,
+		`sardinelever_calls_total{outcome="failed",rank="normal",service="s"} 2`,
+		`sardinelever_calls_total{outcome="rejected",rank="normal",service="s"} 1`,
+		`sardinelever_calls_total{outcome="unknown",rank="normal",service="s"} 1`,
+	}
+	// The caller can see the end of an answer just before it is counted.
+	for got := []string(nil); !slices.Equal(got, want); {
+		if got = d.counts(t); total(got) >= 5 && !slices.Equal(got, want) {
+			t.Fatalf("got %q, want %q", got, want)
+		}
+	}
+}
+
+// counts returns the lines of the metric of calls.
+func (d *deployment) counts(t *testing.T) (lines []string) {
+	resp, err := http.Get(d.operator + "/metrics")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	for s := bufio.NewScanner(resp.Body); s.Scan(); {
+		if strings.HasPrefix(s.Text(), "sardinelever_calls_total{") {
+			lines = append(lines, s.Text())
+		}
+	}
+	return lines
+}
+
+// total adds the counts of lines, which are single digits.
+func total(lines []string) (n int) {
+	for _, l := range lines {
+		n += int(l[len(l)-1] - '0')
+	}
+	return n
+}
--- a/internal/instance/runner/pipe.go
+++ b/internal/instance/runner/pipe.go
@@ -103,8 +103,13 @@
 		return o != sender.Rejected
 	}
 	defer a.release()
+	outcome := sender.Failed.String()
+	defer func() { p.count(c, outcome, start) }() // Copy panics when the answer is cut off.
+	failed := a.resp.StatusCode >= http.StatusInternalServerError
 	p.answer.Copy(w, a.resp)
-	p.count(c, "answered", start)
+	if !failed {
+		outcome = "answered"
+	}
 	return true
 }
 
