--- a/internal/call/deduper/deduper_test.go
+++ b/internal/call/deduper/deduper_test.go
@@ -134,14 +134,14 @@
 		<-release
 		return text("receipt ")(w, r)
 	})
-	id, got := newID(), make(chan string)
+	c := &caller{fleet: f, id: newID(), got: make(chan string)}
 	for range 2 {
-		go func() { got <- f.call(one, "pay", id) }()
+		go c.run()
 	}
 	<-begun
 	close(release)
 	for range 2 {
-		if got := <-got; got != "receipt body" {
+		if got := <-c.got; got != "receipt body" {
 			t.Errorf("got %q, want %q", got, "receipt body")
 		}
 	}
@@ -150,6 +150,15 @@
 	}
 }
 
+// caller calls instance one and tells what it got.
+type caller struct {
+	*fleet
+	id  string
+	got chan string
+}
+
+func (c *caller) run() { c.got <- c.call(one, "pay", c.id) }
+
 // TestOutcomes guards against a repeat whose outcome hides that the first
 // attempt may have run, and against one that is refused although nothing ran.
 func TestOutcomes(t *testing.T) {
--- a/internal/call/retrier/retrier_test.go
+++ b/internal/call/retrier/retrier_test.go
@@ -170,20 +170,37 @@
 	r, w := io.Pipe()
 	b := &retrier.Body{Source: r}
 	first, _ := b.Next()
-	began, ended := make(chan bool), make(chan bool)
-	go func() {
-		close(began)
-		_, _ = io.ReadAll(first)
-		close(ended)
-	}()
-	<-began
+	slow := &attempt{body: first, began: make(chan bool), ended: make(chan bool)}
+	go slow.run()
+	<-slow.began
 	second, _ := b.Next()
-	go func() {
-		_, _ = io.WriteString(w, "whole")
-		_ = w.Close()
-	}()
+	c := &caller{pipe: w, text: "whole"}
+	go c.run()
 	if text, err := io.ReadAll(second); string(text) != "whole" || err != nil {
 		t.Errorf("got %q, %v, want whole", text, err)
 	}
-	<-ended
+	<-slow.ended
+}
+
+// attempt reads a body to its end.
+type attempt struct {
+	body         io.Reader
+	began, ended chan bool
+}
+
+func (a *attempt) run() {
+	close(a.began)
+	_, _ = io.ReadAll(a.body)
+	close(a.ended)
+}
+
+// caller sends a body.
+type caller struct {
+	pipe *io.PipeWriter
+	text string
+}
+
+func (c *caller) run() {
+	_, _ = io.WriteString(c.pipe, c.text)
+	_ = c.pipe.Close()
 }
--- a/internal/call/sender/sender_test.go
+++ b/internal/call/sender/sender_test.go
@@ -178,7 +178,8 @@
 		return false
 	})
 	ctx, cancel := context.WithCancel(t.Context())
-	go cancelOn(arrived, cancel)
+	c := &canceler{arrived: arrived, cancel: cancel}
+	go c.run()
 	_, err := new(sender.Sender).Send(ctx, order(b, http.MethodPost, "", false))
 	var f *sender.Failure
 	if !errors.As(err, &f) || f.Outcome != sender.Unknown || f.Reason != "gone" {
@@ -187,9 +188,15 @@
 	<-closed
 }
 
-func cancelOn(c <-chan bool, cancel func()) {
-	<-c
-	cancel()
+// canceler cancels a call when it has arrived.
+type canceler struct {
+	arrived <-chan bool
+	cancel  func()
+}
+
+func (c *canceler) run() {
+	<-c.arrived
+	c.cancel()
 }
 
 // TestShare guards against more connections to a backend server than this
@@ -197,20 +204,13 @@
 func TestShare(t *testing.T) {
 	release := make(chan bool)
 	b := start(t, func(c net.Conn, _ *http.Request, _, _ int) bool { return <-release && write(c, hello) })
-	s := &sender.Sender{Instances: func() int { return 125 }}
-	got := make(chan error)
+	c := &caller{sender: &sender.Sender{Instances: func() int { return 125 }}, server: b, got: make(chan error)}
 	for range 8 {
-		go func() {
-			resp, err := s.Send(t.Context(), order(b, http.MethodGet, "", false))
-			if err == nil {
-				_, err = io.Copy(io.Discard, resp.Body)
-			}
-			got <- err
-		}()
+		go c.run(t.Context())
 	}
 	for range 8 {
 		release <- true
-		if err := <-got; err != nil {
+		if err := <-c.got; err != nil {
 			t.Error(err)
 		}
 	}
@@ -219,6 +219,21 @@
 	}
 }
 
+// caller sends calls and tells of each whether its whole answer arrived.
+type caller struct {
+	sender *sender.Sender
+	server *backend
+	got    chan error
+}
+
+func (c *caller) run(ctx context.Context) {
+	resp, err := c.sender.Send(ctx, order(c.server, http.MethodGet, "", false))
+	if err == nil {
+		_, err = io.Copy(io.Discard, resp.Body)
+	}
+	c.got <- err
+}
+
 // TestHeaders guards against hop-by-hop headers that pass, and against lost
 // trailers, 1xx answers and 100 Continue.
 func TestHeaders(t *testing.T) {
