--- /dev/null
+++ b/cmd/sardinelever/docs_test.go
@@ -0,0 +1,64 @@
+package main_test
+
+import (
+	"io/fs"
+	"os"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"testing"
+)
+
+// TestOperations guards against log lines, metrics and reasons that the page
+// for operators does not explain.
+func TestOperations(t *testing.T) {
+	page, err := os.ReadFile("../../docs/operations.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	patterns := []*regexp.Regexp{
+		regexp.MustCompile(`Msg\("([a-z]+: [^"]+)"\)`),
+		regexp.MustCompile(`"(sardinelever_\w+)"`),
+		regexp.MustCompile(`Reason: "([a-z]+)"`),
+		regexp.MustCompile(`failure\(ctx, \w+, "([a-z]+)"`),
+		regexp.MustCompile(`unknown\("([a-z]+)"\)`),
+		regexp.MustCompile(`(?:report\.Reason|reason) = .*"([a-z]+)"`),
+		regexp.MustCompile(`(?:Full|Late|None) = "([a-z]+)"`),
+	}
+	found := 0
+	for _, text := range sources(t) {
+		for _, p := range patterns {
+			for _, m := range p.FindAllStringSubmatch(text, -1) {
+				found++
+				if !strings.Contains(string(page), "`"+m[1]+"`") {
+					t.Errorf("docs/operations.md does not have `%s`", m[1])
+				}
+			}
+		}
+	}
+	if found < 40 {
+		t.Errorf("got %d texts in the code, want at least 40", found)
+	}
+}
+
+// sources returns the code of the program without stand-ins and load tests.
+func sources(t *testing.T) (texts []string) {
+	err := filepath.WalkDir("../../internal", func(path string, d fs.DirEntry, err error) error {
+		if err != nil {
+			return err
+		}
+		if name := d.Name(); d.IsDir() && (name == "standin" || name == "load") {
+			return filepath.SkipDir
+		}
+		if !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") {
+			return nil
+		}
+		text, err := os.ReadFile(path)
+		texts = append(texts, string(text))
+		return err
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return texts
+}
