--- a/cmd/sardinelever/docs_test.go
+++ b/cmd/sardinelever/docs_test.go
@@ -7,6 +7,8 @@
 	"regexp"
 	"strings"
 	"testing"
+
+	"sardinelever.example/sardinelever/internal/config/parser"
 )
 
 // TestOperations guards against log lines, metrics and reasons that the page
@@ -41,6 +43,26 @@
 	}
 }
 
+// TestExamples guards against service files on pages that the program refuses.
+func TestExamples(t *testing.T) {
+	block := regexp.MustCompile("(?s)```toml\n(.*?)```")
+	for _, page := range []string{"../../README.md", "../../docs/settings.md"} {
+		text, err := os.ReadFile(page)
+		if err != nil {
+			t.Fatal(err)
+		}
+		blocks := block.FindAllSubmatch(text, -1)
+		if len(blocks) == 0 {
+			t.Errorf("%s has no service file", page)
+		}
+		for _, b := range blocks {
+			if _, err := parser.ParseService(page, b[1]); err != nil {
+				t.Error(err)
+			}
+		}
+	}
+}
+
 // sources returns the code of the program without stand-ins and load tests.
 func sources(t *testing.T) (texts []string) {
 	err := filepath.WalkDir("../../internal", func(path string, d fs.DirEntry, err error) error {
