--- a/internal/config/parser/settings.go
+++ b/internal/config/parser/settings.go
@@ -11,7 +11,7 @@
 	Peers    netip.AddrPort `toml:"peers"`            // Listener for other instances.
 	Operator netip.AddrPort `toml:"operator"`         // Listener for operators.
 	Platform string         `toml:"platform"`         // Base URL of the platform.
-	Notice   Duration       `toml:"notice,omitempty"` // Time between readiness false and closing the listener; 0 means 5s.
+	Notice   Duration       `toml:"notice,omitempty"` // Time between readiness false and the end of accepting calls; 0 means 5s.
 	Plain    bool           `toml:"plain,omitempty"`  // Plain allows unencrypted links between instances.
 	Margin   Duration       `toml:"margin,omitempty"` // Lag of the platform's list, clock error and 10s together; 0 means 30s.
 	Policy   string         `toml:"policy,omitempty"` // Dispatch: grant, random, round or least; empty means grant.
--- a/internal/flow/ringer/doc.go
+++ b/internal/flow/ringer/doc.go
@@ -1,2 +1,3 @@
-// Package ringer holds bounded rings that join the duties of an instance.
+// Package ringer keeps the latest values of a series, such as audit entries, in
+// bounded memory.
 package ringer
--- a/internal/instance/runner/runner.go
+++ b/internal/instance/runner/runner.go
@@ -37,7 +37,8 @@
 // ErrInstance reports that the instance could not start or stopped by a failure.
 var ErrInstance = errors.New("instance failed")
 
-// Ready reports whether the instance accepts new calls.
+// Ready reports whether new calls should be sent to the instance. It turns
+// false at the start of a shutdown, while calls are still accepted.
 func (r *Runner) Ready() bool { return r.ready.Load() }
 
 // Address returns the address of the callers' listener, the zero value before Run has opened it.
@@ -49,7 +50,7 @@
 }
 
 // Run serves until ctx is done, then shuts down gracefully: readiness turns
-// false, the listener serves for the notice, calls in flight finish. The error
+// false, calls are accepted until the notice ends, calls in flight finish. The error
 // wraps ErrInstance.
 func (r *Runner) Run(ctx context.Context) error {
 	if r.Log == nil {
--- a/internal/operator/auditor/auditor.go
+++ b/internal/operator/auditor/auditor.go
@@ -25,7 +25,7 @@
 	ring ringer.Ring[Change]
 }
 
-// Note records c; a zero Time means now.
+// Note records c; a zero Time means now. It waits for nothing but the log.
 func (a *Auditor) Note(c Change) {
 	if a == nil {
 		return
--- a/internal/operator/meter/meter.go
+++ b/internal/operator/meter/meter.go
@@ -10,7 +10,7 @@
 type Meter struct {
 	Calls    *prometheus.CounterVec   // By service, rank and outcome.
 	Latency  *prometheus.HistogramVec // Seconds from accept to the end of the answer, by service and rank.
-	Attempts *prometheus.CounterVec   // Sends to backend servers, by service and kind: first, again.
+	Attempts *prometheus.CounterVec   // Attempts that got a slot, by service and kind: first, again.
 	Wait     *prometheus.HistogramVec // Seconds that an attempt waited for a slot, by service and rank.
 }
 
@@ -18,11 +18,11 @@
 func Register(r *prometheus.Registry) *Meter {
 	m := &Meter{
 		Calls: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Name: "sardinelever_calls_total", Help: "Calls, by outcome: answered, rejected, unknown, failed.",
+			Name: "sardinelever_calls_total", Help: "Calls, by outcome: answered (below status 500), failed, rejected, unknown.",
 		}, []string{"service", "rank", "outcome"}),
 		Latency: histogram("sardinelever_call_seconds", "Time from accept to the end of the answer."),
 		Attempts: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Name: "sardinelever_attempts_total", Help: "Sends to backend servers, by kind: first, or again for a retry or hedge.",
+			Name: "sardinelever_attempts_total", Help: "Attempts that got a slot, by kind: first, or again for a retry or hedge.",
 		}, []string{"service", "kind"}),
 		Wait: histogram("sardinelever_wait_seconds", "Time that an attempt waited for a slot."),
 	}
--- a/internal/route/asker/asker.go
+++ b/internal/route/asker/asker.go
@@ -21,7 +21,7 @@
 	Service  string
 	Rank     parser.Rank
 	Deadline time.Time
-	Avoid    []netip.AddrPort // Backend servers that already refused the call.
+	Avoid    []netip.AddrPort // Backend servers that earlier attempts of the call used.
 }
 
 // Result is what a call says about the backend server when it gives its slot back.
--- a/internal/route/mapper/doc.go
+++ b/internal/route/mapper/doc.go
@@ -1,3 +1,3 @@
 // Package mapper joins the configuration in force with the platform's list
-// into one immutable map of services, pools and backend servers.
+// into one immutable map of services and their backend servers.
 package mapper
--- a/internal/standin/stager/stager.go
+++ b/internal/standin/stager/stager.go
@@ -20,7 +20,7 @@
 type Group struct {
 	Service parser.Service
 	Count   int
-	Time    func() time.Duration
+	Time    func() time.Duration // Service time of a call; nil means none.
 	Setup   func(*worker.Worker) // Changes a backend server before it serves; nil means no change.
 }
 
