Compare audit causes and texts of the operators' page both ways

Cause: a renamed audit cause, or a log line that was removed, would leave the page wrong. Change: TestOperations also looks for the causes of audit entries, and for log lines and metrics on the page that the code no longer has.

--- a/cmd/sardinelever/docs_test.go
+++ b/cmd/sardinelever/docs_test.go
@@ -11,8 +11,9 @@
 	"sardinelever.example/sardinelever/internal/config/parser"
 )
 
-// TestOperations guards against log lines, metrics and reasons that the page
-// for operators does not explain.
+// TestOperations guards against log lines, metrics, reasons and causes of
+// audit entries that the page for operators does not explain, and against log
+// lines and metrics on the page that the code no longer has.
 func TestOperations(t *testing.T) {
 	page, err := os.ReadFile("../../docs/operations.md")
 	if err != nil {
@@ -37,12 +38,26 @@
 				}
 			}
 		}
+		for _, m := range cause.FindAllStringSubmatch(text, -1) {
+			if !strings.Contains(string(page), "`"+strings.TrimSpace(m[1])) {
+				t.Errorf("docs/operations.md does not have the cause `%s`", m[1])
+			}
+		}
+	}
+	code := strings.Join(sources(t), "")
+	for _, m := range regexp.MustCompile("(?m)^\\| `([a-z]+: [^`]+|sardinelever_\\w+)` \\|").FindAllSubmatch(page, -1) {
+		if !strings.Contains(code, `"`+string(m[1])+`"`) {
+			t.Errorf("docs/operations.md has `%s`, which the code does not", m[1])
+		}
 	}
 	if found < 40 {
 		t.Errorf("got %d texts in the code, want at least 40", found)
 	}
 }
 
+// cause matches the constant beginning of the cause of an audit entry.
+var cause = regexp.MustCompile(`(?:Cause: |note\((?:now, \w+|v|\w+\.version|"list"|\w+\.Name), )"([a-z][^"]*)`)
+
 // TestExamples guards against service files on pages that the program refuses.
 func TestExamples(t *testing.T) {
 	block := regexp.MustCompile("(?s)```toml\n(.*?)```")
