--- a/cmd/sardinelever/process_test.go
+++ b/cmd/sardinelever/process_test.go
@@ -63,6 +63,7 @@
 // call until it is released.
 type deployment struct {
 	*launcher.Instance
+	stager           *stager.Stager
 	binary           string
 	arrived, release chan bool
 	answer           chan string
@@ -76,6 +77,7 @@
 	if err := s.Start(); err != nil {
 		t.Fatal(err)
 	}
+	d.stager = s
 	t.Cleanup(s.Stop)
 	l := &launcher.Launcher{Dir: t.TempDir()}
 	if err := l.Build(); err != nil {
--- a/cmd/sardinelever/session_test.go
+++ b/cmd/sardinelever/session_test.go
@@ -42,6 +42,30 @@
 	<-d.answer
 }
 
+// TestRefusedBundle guards against an operator who does not see that, and why,
+// an instance refused a published bundle.
+func TestRefusedBundle(t *testing.T) {
+	d := deploy(t)
+	d.stager.Platform.Publish([]byte("version = 2\nparent = 2\n"))
+	text := d.ask(t, "status")
+	for !strings.Contains(text, "refused  version") {
+		text = d.ask(t, "status")
+	}
+	for _, want := range []string{
+		"config  version=1  sum=SUM  ",
+		"refused  version=2/SUM  source=platform  age=AGE  reason=bundle: services: is required; a bundle holds at least one service\n",
+	} {
+		if !strings.Contains(text, want) {
+			t.Errorf("got status\n%s\nwant %q in it", text, want)
+		}
+	}
+	const want = "TIME  config  bundle 2/SUM  refused, offered by platform: bundle: services: is required; a bundle holds at least one service; " +
+		"bundle:2: parent: 2 is not below version 2  1/SUM  ->  1/SUM\n"
+	if got := d.ask(t, "audit"); !strings.Contains(got, want) {
+		t.Errorf("got audit\n%s\nwant %q in it", got, want)
+	}
+}
+
 // ask runs a command against the instance and returns its output in a form
 // that is the same in every run.
 func (d *deployment) ask(t *testing.T, args ...string) string {
