Use the version type of bundles in the spreader

Cause: spreader.Version repeated bundler.Version, and the runner copied one into the other. Change: the spreader takes bundler.Version, and keeper.Sections is its Current without a function between them. Conclusion: one order of bundles in one place.

--- a/internal/fleet/spreader/pull.go
+++ b/internal/fleet/spreader/pull.go
@@ -11,6 +11,7 @@
 	"github.com/phuslu/log"
 	"github.com/pkg/errors"
 
+	"sardinelever.example/sardinelever/internal/config/bundler"
 	"sardinelever.example/sardinelever/internal/fleet/linker"
 	"sardinelever.example/sardinelever/internal/fleet/messenger"
 	"sardinelever.example/sardinelever/internal/fleet/registrar"
@@ -31,7 +32,7 @@
 	}
 }
 
-func (s *Spreader) hear(from linker.Hello, v Version) {
+func (s *Spreader) hear(from linker.Hello, v bundler.Version) {
 	s.heard.Store(time.Now().UnixNano())
 	own, _ := s.Current()
 	if v.Compare(own) <= 0 || !from.Peer.IsValid() {
@@ -69,14 +70,14 @@
 	v, sections := s.Current()
 	sums := s.Sections.Sums(sections)
 	if len(p.GetSums()) == 0 {
-		m := &messenger.Manifest{Version: v.message(), Sums: sums}
+		m := &messenger.Manifest{Version: message(v), Sums: sums}
 		return &messenger.Control{Kind: &messenger.Control_Manifest{Manifest: m}}
 	}
 	wanted := make(map[uint64]bool, len(p.GetSums()))
 	for _, sum := range p.GetSums() {
 		wanted[sum] = true
 	}
-	out := &messenger.Sections{Version: v.message()}
+	out := &messenger.Sections{Version: message(v)}
 	for i, sum := range sums {
 		if wanted[sum] {
 			out.Texts = append(out.Texts, sections[i])
@@ -126,12 +127,12 @@
 
 // fetch returns the version and text of the bundle of a peer, no text if the
 // version is not higher than the own one or was refused.
-func (s *Spreader) fetch(ctx context.Context, peer netip.AddrPort) (Version, []byte, error) {
+func (s *Spreader) fetch(ctx context.Context, peer netip.AddrPort) (bundler.Version, []byte, error) {
 	ctx, cancel := context.WithTimeout(ctx, s.Timeout)
 	defer cancel()
 	conn, err := s.Links.Open(ctx, peer, linker.Control)
 	if err != nil {
-		return Version{}, nil, err
+		return bundler.Version{}, nil, err
 	}
 	defer func() { _ = conn.Close() }()
 	end, _ := ctx.Deadline()
@@ -148,14 +149,14 @@
 	}
 	c, err := ask(new(messenger.Pull))
 	if err != nil {
-		return Version{}, nil, err
+		return bundler.Version{}, nil, err
 	}
 	m := c.GetManifest()
 	v := parseVersion(m.GetVersion())
 	switch {
 	case m == nil:
 		return v, nil, ErrBusy
-	case v == Version{}:
+	case v == bundler.Version{}:
 		return v, nil, ErrEmpty
 	}
 	own, have := s.Current()
@@ -164,7 +165,7 @@
 	}
 	var received [][]byte
 	if missing := s.Sections.Missing(m.GetSums(), have); len(missing) > 0 {
-		if c, err = ask(&messenger.Pull{Version: v.message(), Sums: missing}); err != nil {
+		if c, err = ask(&messenger.Pull{Version: message(v), Sums: missing}); err != nil {
 			return v, nil, err
 		}
 		if received = c.GetSections().GetTexts(); len(received) == 0 {
@@ -175,7 +176,7 @@
 	return v, text, err
 }
 
-func (s *Spreader) assemble(v Version, sums []uint64, have, received [][]byte) ([]byte, error) {
+func (s *Spreader) assemble(v bundler.Version, sums []uint64, have, received [][]byte) ([]byte, error) {
 	for _, t := range received {
 		s.sections.Add(1)
 		s.bytes.Add(uint64(len(t)))
@@ -190,7 +191,7 @@
 	return text, nil
 }
 
-func (s *Spreader) isRefused(v Version) bool {
+func (s *Spreader) isRefused(v bundler.Version) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.refused[v]
--- a/internal/fleet/spreader/spreader.go
+++ b/internal/fleet/spreader/spreader.go
@@ -1,7 +1,6 @@
 package spreader
 
 import (
-	"cmp"
 	"context"
 	"math/rand/v2"
 	"net"
@@ -13,6 +12,7 @@
 	"github.com/phuslu/log"
 	"github.com/pkg/errors"
 
+	"sardinelever.example/sardinelever/internal/config/bundler"
 	"sardinelever.example/sardinelever/internal/fleet/linker"
 	"sardinelever.example/sardinelever/internal/fleet/messenger"
 	"sardinelever.example/sardinelever/internal/fleet/registrar"
@@ -26,22 +26,13 @@
 	ErrSum   = errors.New("bundle does not have its announced sum")
 )
 
-// Version orders bundles: by number, then by sum of the content.
-type Version struct {
-	Number uint64
-	Sum    uint64 // xxhash of the text.
-}
-
-// Compare returns -1, 0 or 1 as v is lower than, equal to or higher than w.
-func (v Version) Compare(w Version) int {
-	return cmp.Or(cmp.Compare(v.Number, w.Number), cmp.Compare(v.Sum, w.Sum))
-}
-
-func (v Version) message() *messenger.Version {
+func message(v bundler.Version) *messenger.Version {
 	return &messenger.Version{Number: v.Number, Sum: v.Sum}
 }
 
-func parseVersion(m *messenger.Version) Version { return Version{m.GetNumber(), m.GetSum()} }
+func parseVersion(m *messenger.Version) bundler.Version {
+	return bundler.Version{Number: m.GetNumber(), Sum: m.GetSum()}
+}
 
 // Keeper holds the configuration in force.
 type Keeper interface {
@@ -75,7 +66,7 @@
 // called.
 type Spreader struct {
 	Keeper   Keeper
-	Current  func() (Version, [][]byte) // Bundle in force and its sections; the zero Version without one.
+	Current  func() (bundler.Version, [][]byte) // Bundle in force and its sections; the zero bundler.Version without one.
 	Sections Sections
 	Fleet    Fleet
 	Links    Links
@@ -95,7 +86,7 @@
 
 	mu      sync.Mutex
 	offers  map[netip.AddrPort]*offer
-	refused map[Version]bool
+	refused map[bundler.Version]bool
 
 	pulls, failed, sections, bytes atomic.Uint64
 }
@@ -104,7 +95,7 @@
 type offer struct {
 	peer    netip.AddrPort
 	name    string
-	version Version
+	version bundler.Version
 	fails   int
 	next    time.Time // No pull before this time.
 }
@@ -129,7 +120,7 @@
 	s.pulling = make(chan struct{}, 1)
 	s.serving = make(chan struct{}, s.Serving)
 	s.offers = make(map[netip.AddrPort]*offer)
-	s.refused = make(map[Version]bool)
+	s.refused = make(map[bundler.Version]bool)
 }
 
 // Run pulls announced versions until ctx is done.
@@ -207,11 +198,11 @@
 // heartbeat.
 func (s *Spreader) Announce() {
 	v, _ := s.Current()
-	if v == (Version{}) {
+	if v == (bundler.Version{}) {
 		return
 	}
-	s.Fleet.SetVersion(v.message())
-	s.Fleet.Broadcast(&messenger.Control{Kind: &messenger.Control_Version{Version: v.message()}})
+	s.Fleet.SetVersion(message(v))
+	s.Fleet.Broadcast(&messenger.Control{Kind: &messenger.Control_Version{Version: message(v)}})
 }
 
 // Heard reports whether another instance announced a version within Fresh.
--- a/internal/fleet/spreader/spreader_test.go
+++ b/internal/fleet/spreader/spreader_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"sardinelever.example/sardinelever/internal/config/bundler"
 	"sardinelever.example/sardinelever/internal/fleet/linker"
 	"sardinelever.example/sardinelever/internal/fleet/registrar"
 	"sardinelever.example/sardinelever/internal/fleet/spreader"
@@ -28,7 +29,7 @@
 // is a section. A text that contains "bad" is refused.
 type keeper struct {
 	mu      sync.Mutex
-	version spreader.Version
+	version bundler.Version
 	text    []byte
 	offers  int
 	lower   int // Accepted texts that were lower than the one before.
@@ -41,7 +42,7 @@
 	if bytes.Contains(text, []byte("bad")) {
 		return false, errBundle
 	}
-	v := spreader.Version{Sum: xxhash.Sum64(text)}
+	v := bundler.Version{Sum: xxhash.Sum64(text)}
 	if _, err := fmt.Sscanf(string(text), "version %d", &v.Number); err != nil {
 		return false, err
 	}
@@ -53,7 +54,7 @@
 	return true, nil
 }
 
-func (k *keeper) current() (spreader.Version, [][]byte) {
+func (k *keeper) current() (bundler.Version, [][]byte) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	return k.version, split(k.text)
@@ -238,7 +239,7 @@
 	bad := append(bundle(9, 0), "bad\n"...)
 	a := all[0].keeper
 	a.mu.Lock()
-	a.version, a.text = spreader.Version{Number: 9, Sum: xxhash.Sum64(bad)}, bad
+	a.version, a.text = bundler.Version{Number: 9, Sum: xxhash.Sum64(bad)}, bad
 	a.mu.Unlock()
 	all[0].Announce()
 	offers := func() int {
@@ -263,7 +264,7 @@
 	all := launchAll(t, 2)
 	k := all[0].keeper
 	k.mu.Lock()
-	k.version, k.text = spreader.Version{Number: 2, Sum: 7}, bundle(2, 0)
+	k.version, k.text = bundler.Version{Number: 2, Sum: 7}, bundle(2, 0)
 	k.mu.Unlock()
 	all[0].Announce()
 	eventually(t, "audited sum", func() bool {
--- a/internal/instance/runner/join.go
+++ b/internal/instance/runner/join.go
@@ -11,7 +11,6 @@
 	"sardinelever.example/sardinelever/internal/fleet/messenger"
 	"sardinelever.example/sardinelever/internal/fleet/placer"
 	"sardinelever.example/sardinelever/internal/fleet/registrar"
-	"sardinelever.example/sardinelever/internal/fleet/spreader"
 	"sardinelever.example/sardinelever/internal/operator/auditor"
 	"sardinelever.example/sardinelever/internal/platform/reader"
 	"sardinelever.example/sardinelever/internal/route/granter"
@@ -52,12 +51,6 @@
 // instances returns the size of the fleet.
 func (p *parts) instances() int { return max(len(p.members.Believed().Names), 1) }
 
-// current returns version and sections of the bundle in force.
-func (p *parts) current() (spreader.Version, [][]byte) {
-	v, sections := p.keeper.Sections()
-	return spreader.Version{Number: v.Number, Sum: v.Sum}, sections
-}
-
 func (p *parts) serveGrants(from linker.Hello, conn net.Conn) { p.granter.Serve(from.Name, conn) }
 
 func (p *parts) serveCalls(_ linker.Hello, conn net.Conn) { p.deduper.Serve(conn) }
--- a/internal/instance/runner/parts.go
+++ b/internal/instance/runner/parts.go
@@ -93,7 +93,7 @@
 		})
 	}
 	p.spreader = spreader.Spreader{
-		Keeper: &p.keeper, Current: p.current, Fleet: &p.members, Links: &p.linker, Changes: p.keeper.Changes(), Audit: &p.audit,
+		Keeper: &p.keeper, Current: p.keeper.Sections, Fleet: &p.members, Links: &p.linker, Changes: p.keeper.Changes(), Audit: &p.audit,
 		Sections: spreader.Sections{Sums: bundler.Sums, Missing: bundler.Missing, Assemble: bundler.Assemble},
 	}
 }
