Keep one guard of short lists and one detector of pauses

Cause: the rule for a suddenly short list stood in reader.Guard and in registrar.Guard, so a list waited once in each with different rules for leaving entries; pauses were detected by the detector and by the registrar, and each was audited twice. The roster ignores lists without a new read time. Additions to a held list become members but no places: they would otherwise count as places since the last read, which is before they were added. The registrar has Resume, which the runner calls from the detector, and Check, which it calls before each step so that a pause is noticed before members are judged. Its ticker is a tenth of the heartbeat period instead of a field of its own. Conclusion: one place for each rule.

--- a/internal/fleet/registrar/beat.go
+++ b/internal/fleet/registrar/beat.go
@@ -15,6 +15,7 @@
 )
 
 const (
+	steps     = 10       // Steps of Run in one period of heartbeats.
 	maxChecks = 8        // Concurrent dials of silent members.
 	maxIn     = 64 << 10 // Largest incoming control message; large answers come on streams of the asker.
 	maxQueue  = 8        // Messages that wait for one neighbour.
@@ -26,10 +27,10 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer r.tasks.Wait()
 	defer cancel()
-	tick := time.NewTicker(r.Step)
+	tick := time.NewTicker(r.Period / steps)
 	defer tick.Stop()
-	last := r.Clock()
-	beat, recheck := last, last.Add(r.Recheck)
+	beat := r.Clock()
+	recheck := beat.Add(r.Recheck)
 	for {
 		select {
 		case <-ctx.Done():
@@ -38,12 +39,10 @@
 			beat = time.Time{}
 		case <-tick.C:
 		}
-		now := r.Clock()
-		if gap := Gap(last, now); gap > r.Gap {
-			r.resume(now, gap)
-			beat = now
+		if r.Check != nil {
+			r.Check()
 		}
-		last = now
+		now := r.Clock()
 		r.update((*Table).Tick)
 		r.check(ctx)
 		if !now.Before(recheck) {
@@ -57,21 +56,6 @@
 	}
 }
 
-// Gap returns the time from a to b by the monotonic or the wall clock, whichever
-// is longer: the monotonic clock stands still while a machine sleeps.
-func Gap(a, b time.Time) time.Duration { return max(b.Sub(a), b.Round(0).Sub(a.Round(0))) }
-
-func (r *Registrar) resume(now time.Time, gap time.Duration) {
-	r.Audit.Note(auditor.Change{
-		Time: now, Part: "fleet", Subject: "instance " + r.Name, Cause: "process was paused for " + gap.String(),
-		Before: "paused", After: "resumed",
-	})
-	r.update((*Table).Resume)
-	for _, f := range r.OnPause {
-		f(gap)
-	}
-}
-
 // beat sends a heartbeat to each neighbour.
 func (r *Registrar) beat(ctx context.Context) {
 	var m *messenger.Control
--- a/internal/fleet/registrar/doc.go
+++ b/internal/fleet/registrar/doc.go
@@ -2,6 +2,5 @@
 // which lags, corrected by what instances hear from each other.
 //
 // Table holds the decisions as state without goroutines or clock, Roster the
-// believed list and its history, Guard the delay of suddenly short lists, and
-// Registrar the heartbeats between them.
+// believed list and its history, and Registrar the heartbeats between them.
 package registrar
--- a/internal/fleet/registrar/registrar.go
+++ b/internal/fleet/registrar/registrar.go
@@ -39,15 +39,12 @@
 	Links       Links
 	Audit       *auditor.Auditor
 	Receivers   []Receiver
-	OnChange    []func()                  // Called after a change of the members; must not block.
-	OnPause     []func(gap time.Duration) // Called when this process resumes after a pause; must not block.
+	OnChange    []func() // Called after a change of the members; must not block.
+	Check       func()   // Called before each step of Run; calls Resume when the process was paused. May be nil.
 
 	Limits  Limits
 	Period  time.Duration    // Of heartbeats; 0 means 1s.
-	Step    time.Duration    // Of the ticker that notices pauses; 0 means 100ms.
-	Gap     time.Duration    // A step longer than this is a pause; 0 means 1s.
 	Recheck time.Duration    // Mean time between dials of one random silent member; 0 means 5s.
-	Hold    time.Duration    // Time for which a suddenly short list must persist; 0 means 60s.
 	Clock   func() time.Time // nil means time.Now.
 
 	once sync.Once
@@ -55,9 +52,6 @@
 
 	mu       sync.Mutex
 	table    Table
-	guard    Guard
-	listTime time.Time // Of the accepted list, by the platform's clock.
-	older    time.Time // Since when lists are older than that.
 	sequence uint64
 	version  *messenger.Version
 	ready    bool
@@ -73,8 +67,6 @@
 
 func (r *Registrar) init() {
 	setDefault(&r.Period, time.Second)
-	setDefault(&r.Step, 100*time.Millisecond)
-	setDefault(&r.Gap, time.Second)
 	setDefault(&r.Recheck, 5*time.Second)
 	if r.Clock == nil {
 		r.Clock = time.Now
@@ -82,7 +74,6 @@
 	r.kick = make(chan struct{}, 1)
 	r.checks = make(map[string]bool)
 	r.senders = make(map[string]*sender)
-	r.guard.Delay = r.Hold
 	r.table.Limits = r.Limits
 	r.table.Note = r.Audit.Note
 	r.table.Self = Member{Name: r.Name, Zone: r.Zone, Region: r.Region, Peer: r.Peer, Incarnation: r.Incarnation}
@@ -200,68 +191,53 @@
 		f()
 		t.Announce(now, r.ready, r.leaving)
 	})
+	r.hurry()
+}
+
+// Resume drops what a pause of this process made stale and sends a heartbeat at
+// once.
+func (r *Registrar) Resume() {
+	r.update((*Table).Resume)
+	r.hurry()
+}
+
+// hurry makes Run send a heartbeat at once.
+func (r *Registrar) hurry() {
 	select {
 	case r.kick <- struct{}{}:
 	default:
 	}
 }
 
-// SetList takes a list that was read from the platform at readTime.
-//
-// An empty list, a suddenly short one and one that is older than the accepted
-// list count as failed reads until they persist for Hold: they change neither
-// the members nor the believed list and its read time.
+// SetList takes the believed list of the platform and the time of the last read
+// that gave its entry instances. The members follow each list; the roster only
+// follows lists with a new read time, because a list that holds lost entries is
+// not what the platform says, and not lists without any instance before the
+// first one that has some.
 func (r *Registrar) SetList(list *reader.List, readTime time.Time) {
+	readTime = readTime.Round(0)
 	var members []Member
-	var names, present []string
+	var present []string
+	seen := make(map[string]bool)
 	for _, e := range list.Entries {
-		if e.Service != "" || slices.Contains(names, e.Name) {
+		if e.Service != "" || seen[e.Name] {
 			continue
 		}
+		seen[e.Name] = true
 		m := Member{Name: e.Name, Zone: e.Zone, Region: e.Region, Peer: e.Peer}
 		if e.Leaving {
 			m.State = Leaving
 		} else {
 			present = append(present, e.Name)
 		}
-		names = append(names, e.Name)
 		members = append(members, m)
 	}
 	slices.Sort(present)
 	r.update(func(t *Table, now time.Time) {
-		if !r.accept(now, list.Time, names) {
-			return
+		if last := r.roster.Load(); !readTime.Equal(last.Read) && (len(members) > 0 || !last.Read.IsZero()) {
+			next := last.next(readTime, present)
+			r.roster.Store(&next)
 		}
-		next := r.roster.Load().next(readTime, present)
-		r.roster.Store(&next)
 		t.Apply(now, members)
 	})
 }
-
-// accept decides about a list and audits the first refusal. The caller holds
-// r.mu.
-func (r *Registrar) accept(now, listTime time.Time, names []string) bool {
-	if listTime.Before(r.listTime) {
-		if r.older.IsZero() {
-			r.older = now
-			r.noteList(now, "older than the list in use", "held")
-		}
-		if now.Sub(r.older) < r.guard.delay() {
-			return false
-		}
-	}
-	switch r.guard.Judge(now, names, r.table.Silent) {
-	case HoldNew:
-		r.noteList(now, "lost more than half of the entry instances", "held")
-		return false
-	case Hold:
-		return false
-	case Accept:
-	}
-	r.listTime, r.older = listTime, time.Time{}
-	return len(names) > 0 || !r.roster.Load().Read.IsZero()
-}
-
-func (r *Registrar) noteList(now time.Time, cause, after string) {
-	r.Audit.Note(auditor.Change{Time: now, Part: "fleet", Subject: "list", Cause: cause, Before: "in use", After: after})
-}
--- a/internal/fleet/registrar/roster.go
+++ b/internal/fleet/registrar/roster.go
@@ -7,8 +7,8 @@
 	"sardinelever.example/sardinelever/internal/fleet/placer"
 )
 
-// Roster is the believed list at one time: what the accepted reads of the
-// platform's list said. It is immutable.
+// Roster is the believed list at one time: what the reads of the platform's
+// list said. It is immutable.
 type Roster struct {
 	Names []string  // Listed entry instances that are not leaving, sorted.
 	Read  time.Time // Last accepted read; zero when there was none.
@@ -55,7 +55,7 @@
 
 // next returns the Roster after a read at now that gave names, sorted.
 func (r Roster) next(now time.Time, names []string) Roster {
-	if r.Read.IsZero() || Gap(r.Read, now) > maxGap || now.Before(r.Read) {
+	if r.Read.IsZero() || now.Sub(r.Read) > maxGap || now.Before(r.Read) {
 		return Roster{Names: names, Read: now, start: now}
 	}
 	out := Roster{Names: names, Read: now, start: r.start, steps: r.steps}
--- a/internal/fleet/registrar/table.go
+++ b/internal/fleet/registrar/table.go
@@ -309,10 +309,3 @@
 		t.leave(now, e, "shutdown")
 	}
 }
-
-// Silent reports whether the member is silent or unknown.
-func (t *Table) Silent(name string) bool {
-	t.init()
-	e := t.entries[name]
-	return e == nil || e.silent && !e.Self
-}
--- a/internal/instance/runner/join.go
+++ b/internal/instance/runner/join.go
@@ -60,6 +60,7 @@
 	p.audit.Note(auditor.Change{
 		Part: "instance", Subject: p.settings.Name, Cause: "process was paused", Before: gap.String(), After: "stale figures dropped",
 	})
+	p.members.Resume()
 	p.granter.Resume()
 }
 
--- a/internal/instance/runner/parts.go
+++ b/internal/instance/runner/parts.go
@@ -85,6 +85,7 @@
 	p.members = registrar.Registrar{
 		Name: s.Name, Incarnation: p.incarnation, Zone: s.Zone, Region: s.Region, Peer: s.Peers,
 		Links: &p.linker, Audit: &p.audit, Receivers: []registrar.Receiver{&p.spreader, figures{p}},
+		Check: p.detector.Check,
 	}
 	for _, k := range kinds {
 		meter.Link(p.registry, k.String(), func() (in, out uint64) {
--- a/internal/platform/reader/guard_test.go
+++ b/internal/platform/reader/guard_test.go
@@ -38,6 +38,7 @@
 		{"half is applied", nil, []step{{0, four, 4, "[]"}, {1, four[:2], 2, "[]"}}},
 		{"more than half waits", nil, []step{{0, four, 4, "[]"}, {1, four[:1], 4, "[a]"}, {60, four[:1], 4, "[a]"}, {61, four[:1], 1, "[]"}}},
 		{"empty waits", nil, []step{{0, both, 8, "[]"}, {1, nil, 8, "[ a]"}, {60, nil, 8, "[ a]"}, {61, nil, 0, "[]"}}},
+		{"one wait for different short lists", nil, []step{{0, four, 4, "[]"}, {1, nil, 4, "[a]"}, {30, four[:1], 4, "[a]"}, {61, four[:1], 1, "[]"}}},
 		{"recovery ends the wait", nil, []step{{0, four, 4, "[]"}, {1, nil, 4, "[a]"}, {30, four, 4, "[]"}, {62, nil, 4, "[a]"}}},
 		{"other kinds change", nil, []step{{0, both, 8, "[]"}, {1, append(entries("", 4, 2), entries("b", 3, 0)...), 11, "[a]"}}},
 		{"leaving entries may go", nil, []step{{0, entries("a", 4, 3), 4, "[]"}, {1, entries("a", 4, 0)[3:], 1, "[]"}}},
