Notice a pause before forwarded calls too

Cause: only calls that came from callers checked for a pause of the process; a call forwarded by another instance could be decided by facts from before it. Change: the check stands before classification, which both pass. Conclusion: every call checks. No test: the detector itself would notice the pause within 100 ms.

--- a/internal/instance/runner/pipe.go
+++ b/internal/instance/runner/pipe.go
@@ -46,9 +46,6 @@
 		p.deduper.ServeHTTP(w, r)
 		return
 	}
-	if p.check != nil {
-		p.check()
-	}
 	p.classify(w, r, false)
 }
 
@@ -62,6 +59,9 @@
 func (p *pipe) serveForwarded(w http.ResponseWriter, r *http.Request) { p.classify(w, r, true) }
 
 func (p *pipe) classify(w http.ResponseWriter, r *http.Request, forwarded bool) {
+	if p.check != nil {
+		p.check()
+	}
 	c, err := classifier.Classify(p.maps.Load(), r, time.Now())
 	if err != nil {
 		report := answerer.Report{Status: http.StatusBadRequest, Reason: "header", Detail: err.Error()}
