Test identified calls over three processes with mutual TLS

Cause: forwarding of identified calls was tested within one process only. Change: TestIdentity starts three instance processes with key files. A call with a made and one with an issued identity reach another instance than their place, run once, and a repeat at the third gets the whole first answer (20 kB). After SIGKILL of the place, during a third call, repeats at both others are unknown with reason place; after the list drops the place, they stay unknown, and none runs again. Conclusion: no fault found.

--- /dev/null
+++ b/cmd/sardinelever/identity_test.go
@@ -0,0 +1,225 @@
+package main_test
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+
+	"sardinelever.example/sardinelever/internal/config/parser"
+	"sardinelever.example/sardinelever/internal/fleet/placer"
+	"sardinelever.example/sardinelever/internal/platform/reader"
+	"sardinelever.example/sardinelever/internal/standin/certifier"
+	"sardinelever.example/sardinelever/internal/standin/launcher"
+	"sardinelever.example/sardinelever/internal/standin/stager"
+	"sardinelever.example/sardinelever/internal/standin/worker"
+)
+
+// processes are three instance processes with links over TLS.
+type processes struct {
+	t       *testing.T
+	stage   stager.Stager
+	all     map[string]*launcher.Instance
+	names   []string
+	arrived chan bool     // Receives when a call without a service time runs.
+	release chan struct{} // Ends such calls.
+}
+
+func startProcesses(t *testing.T) *processes {
+	p := &processes{t: t, all: make(map[string]*launcher.Instance), arrived: make(chan bool, 1), release: make(chan struct{})}
+	p.stage.Groups = []stager.Group{{Service: parser.Service{Name: "deposits", Slots: 2}, Count: 2, Time: p.hold}}
+	p.must(p.stage.Start())
+	t.Cleanup(p.stage.Stop)
+	t.Cleanup(func() { close(p.release) })
+	l := &launcher.Launcher{Dir: t.TempDir()}
+	p.must(l.Build())
+	var keys certifier.Authority
+	var settings []*parser.Settings
+	for _, zone := range []string{"a", "b", "c"} {
+		files, err := keys.Issue(t.TempDir())
+		p.must(err)
+		// The list never changes before the calls, so nothing needs the usual margin.
+		s := &parser.Settings{Name: "entry-" + zone, Zone: zone, Platform: p.stage.URL, TLS: files, Margin: parser.Duration(time.Millisecond)}
+		p.must(launcher.Reserve(s))
+		settings, p.names = append(settings, s), append(p.names, s.Name)
+		p.stage.Entries = append(p.stage.Entries, reader.Entry{Name: s.Name, Address: s.Callers, Peer: s.Peers, Zone: zone, Region: "home"})
+	}
+	p.stage.Platform.SetList(p.stage.Entries)
+	for _, s := range settings {
+		i, err := l.Start(s)
+		p.must(err)
+		t.Cleanup(func() { _ = i.Signal(syscall.SIGKILL) })
+		p.all[s.Name] = i
+	}
+	for _, i := range p.all {
+		p.must(i.Await(20 * time.Second))
+	}
+	return p
+}
+
+func (p *processes) must(err error) {
+	p.t.Helper()
+	if err != nil {
+		p.t.Fatal(err)
+	}
+}
+
+func (p *processes) hold() time.Duration {
+	p.arrived <- true
+	<-p.release
+	return 0
+}
+
+// identity returns a new identity whose place is the instance named place.
+func (p *processes) identity(place string) string {
+	for {
+		id, err := uuid.NewV7()
+		p.must(err)
+		if placer.First(id.String(), p.names) == place {
+			return id.String()
+		}
+	}
+}
+
+// answer is what a caller sees of an answer.
+type answer struct {
+	status                          int
+	instance, outcome, reason, took string
+	body                            string
+}
+
+// call sends a call with an identity; took is its service time in microseconds,
+// and the answer echoes payload.
+func (p *processes) call(instance, id, took, payload string) (a answer) {
+	r, err := http.NewRequestWithContext(p.t.Context(), http.MethodPost, p.all[instance].URL()+"/deposits/new", strings.NewReader("deposit"))
+	if err != nil {
+		p.t.Error(err)
+		return a
+	}
+	r.Header.Set("Sardine-Id", id)
+	r.Header.Set(worker.CallHeader, payload)
+	if took != "" {
+		r.Header.Set(worker.TimeHeader, took)
+	}
+	resp, err := http.DefaultClient.Do(r)
+	if err != nil {
+		p.t.Error(err)
+		return a
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		p.t.Error(err)
+	}
+	h := resp.Header
+	return answer{
+		status: resp.StatusCode, instance: h.Get("Sardine-Instance"), outcome: h.Get("Sardine-Outcome"),
+		reason: h.Get("Sardine-Reason"), took: h.Get(worker.TookHeader), body: string(body),
+	}
+}
+
+func (p *processes) runs(id string) (n int) {
+	for _, w := range p.stage.Workers["deposits"] {
+		n += w.Runs(id)
+	}
+	return n
+}
+
+func (p *processes) issue(instance string) string {
+	resp, err := http.Get(p.all[instance].URL() + "/sardine/id")
+	p.must(err)
+	defer func() { _ = resp.Body.Close() }()
+	id, err := io.ReadAll(resp.Body)
+	p.must(err)
+	return strings.TrimSpace(string(id))
+}
+
+// wantUnknown repeats a call and checks that it does not run again.
+func (p *processes) wantUnknown(instance, id, reason string) {
+	p.t.Helper()
+	a := p.call(instance, id, "1000", "")
+	if a.outcome != "unknown" || reason != "" && a.reason != reason || a.status != http.StatusBadGateway {
+		p.t.Errorf("repeat of %s at %s: got %+v, want status 502, outcome unknown, reason %s", id, instance, a, reason)
+	}
+	if got := p.runs(id); got != 1 {
+		p.t.Errorf("%s: got %d runs, want 1", id, got)
+	}
+}
+
+// TestIdentity guards against an identified call that runs twice because it
+// reached two instances or because its place was killed, and against a repeat
+// that gets another answer than the first or only part of it.
+func TestIdentity(t *testing.T) {
+	p := startProcesses(t)
+	place, others := p.names[0], p.names[1:]
+	made, issued := p.identity(place), p.issue(place)
+	payload := strings.Repeat("0123456789", 2000)
+	for _, id := range []string{made, issued} {
+		first := p.call(others[0], id, "2000", payload)
+		if first.status != http.StatusOK || first.instance != place || !strings.HasSuffix(first.body, payload+"\n") {
+			t.Errorf("%s: got %.300s, want status 200 from %s with the payload", id, fmt.Sprintf("%+v", first), place)
+		}
+		if got := p.call(others[1], id, "2000", payload); got != first {
+			t.Errorf("repeat of %s: got %.300s, want the first answer %.300s", id, fmt.Sprintf("%+v", got), fmt.Sprintf("%+v", first))
+		}
+		if got := p.runs(id); got != 1 {
+			t.Errorf("%s: got %d runs, want 1", id, got)
+		}
+	}
+	running := p.identity(place)
+	c := &held{processes: p, instance: others[0], id: running, answer: make(chan answer, 1)}
+	go c.run()
+	select {
+	case <-p.arrived:
+	case got := <-c.answer:
+		t.Fatalf("got %+v before the backend server ran the call", got)
+	}
+	p.must(p.all[place].Signal(syscall.SIGKILL))
+	<-p.all[place].Done()
+	if got := <-c.answer; got.outcome != "unknown" {
+		t.Errorf("call whose place was killed: got %+v, want outcome unknown", got)
+	}
+	for _, id := range []string{made, issued, running} {
+		for _, n := range others {
+			p.wantUnknown(n, id, "place")
+		}
+	}
+	p.replace(place, made, others)
+	for _, id := range []string{made, issued, running} {
+		for _, n := range others {
+			p.wantUnknown(n, id, "")
+		}
+	}
+}
+
+// replace takes the killed place off the list and waits until another instance
+// counts as the place of id.
+func (p *processes) replace(place, id string, others []string) {
+	var left []reader.Entry
+	for _, e := range p.stage.Entries {
+		if e.Name != place {
+			left = append(left, e)
+		}
+	}
+	p.stage.Platform.SetList(left)
+	next := placer.First(id, others)
+	for end := time.Now().Add(20 * time.Second); p.call(next, id, "1000", "").reason != "moved"; time.Sleep(10 * time.Millisecond) {
+		if time.Now().After(end) {
+			p.t.Fatalf("%s does not learn of the new list", next)
+		}
+	}
+}
+
+// held is a call that the backend server does not answer.
+type held struct {
+	*processes
+	instance, id string
+	answer       chan answer
+}
+
+func (c *held) run() { c.answer <- c.call(c.instance, c.id, "", "") }
