Hold a call until the listener is closed in the test of a graceful stop

Change: the test waits until the callers' listener refuses connections. Conclusion: the proof of a graceful stop now fails when it should.

--- a/cmd/sardinelever/process_test.go
+++ b/cmd/sardinelever/process_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"net"
 	"net/http"
 	"os/exec"
 	"strings"
@@ -26,6 +27,7 @@
 		t.Fatal(err)
 	}
 	d.awaitStop(t)
+	d.awaitClosed(t)
 	d.release <- true
 	if got, want := <-d.answer, "guidance-0 POST /book 5\n"; got != want {
 		t.Errorf("got answer %q, want %q", got, want)
@@ -140,6 +142,20 @@
 	}
 }
 
+// awaitClosed waits until the callers' listener is closed: only then did the
+// instance reach the part of its stop that could cut off a call.
+func (d *deployment) awaitClosed(t *testing.T) {
+	t.Helper()
+	for {
+		c, err := net.Dial("tcp", d.Settings.Callers.String())
+		if err != nil {
+			return
+		}
+		_ = c.Close()
+		time.Sleep(time.Millisecond)
+	}
+}
+
 type caller struct {
 	url    string
 	answer chan<- string
