Send a read again when its reused connection stays silent

Cause: when all connections to the backend servers go silent, the hedge budget (5% of the calls) is spent at once, and reads on silent connections keep their slots until their deadlines.

Change: an idempotent call without a body that gets no byte of its answer on a reused connection within 3 x p95 of its service (50 ms to 1 s) closes the connection and is sent again to the same backend server on a new one, in the same slot. Unconfirmed repeats are bounded by 20 tokens per service plus 2% of its calls. A repeat that answered within the patience gets its token back and closes the idle connections to that server that were last used before. If the repeat is refused or cannot connect, the outcome is unknown because the first send may have run. The percentile moves from the retrier into internal/call/estimator, which both use.

--- /dev/null
+++ b/internal/call/estimator/doc.go
@@ -0,0 +1,2 @@
+// Package estimator estimates percentiles of recent latencies.
+package estimator
--- a/internal/call/retrier/retrier.go
+++ b/internal/call/retrier/retrier.go
@@ -71,7 +71,7 @@
 	start := time.Now()
 	v, err := x.loop(ctx)
 	if err == nil {
-		s.record(time.Since(start), time.Now())
+		s.latencies.Record(time.Since(start), time.Now())
 	}
 	return v, err
 }
--- a/internal/call/sender/conn.go
+++ b/internal/call/sender/conn.go
@@ -96,6 +96,13 @@
 	return true
 }
 
+// heard reports whether any byte of an answer arrived.
+func (c *trackedConn) heard() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.answered
+}
+
 // seal stops all further writes and reports whether the exchange wrote any
 // byte and whether any byte of an answer arrived. A Write that is in progress
 // either was counted or finds the connection sealed.
--- a/internal/call/sender/pool.go
+++ b/internal/call/sender/pool.go
@@ -165,13 +165,20 @@
 	return false
 }
 
-// drop closes all idle connections: one of their kind went silent.
-func (p *pool) drop() {
+// drop closes the idle connections that were last used before before.
+func (p *pool) drop(before time.Time) {
 	p.mu.Lock()
-	idle := p.idle
-	p.idle = nil
+	var old, idle []*link
+	for _, l := range p.idle {
+		if l.used.Before(before) {
+			old = append(old, l)
+		} else {
+			idle = append(idle, l)
+		}
+	}
+	p.idle = idle
 	p.mu.Unlock()
-	for _, l := range idle {
+	for _, l := range old {
 		l.timer.Stop()
 		_ = l.Close()
 	}
--- a/internal/call/sender/sender.go
+++ b/internal/call/sender/sender.go
@@ -18,10 +18,11 @@
 type Sender struct {
 	Instances func() int // Entry instances in the fleet; nil means 1.
 
-	mu    sync.Mutex
-	pools map[netip.AddrPort]*pool
-	once  sync.Once
-	http  *http.Transport
+	mu       sync.Mutex
+	pools    map[netip.AddrPort]*pool
+	watchers map[string]*watcher // By service.
+	once     sync.Once
+	http     *http.Transport
 }
 
 // Order is one attempt to send a call.
@@ -33,6 +34,10 @@
 	Attempt int  // Starts at 1.
 	Budget  int  // Retries that the backend server and all calls below it may use.
 	Fresh   bool // Demands a connection that is new or was used within the last second.
+	// Repeat allows a second send to the same backend server when the first one
+	// met a silent connection; the call is idempotent and has no body.
+	Repeat bool
+	Sent   time.Time // Set by Send: the start of the last send.
 	// Inform is called for every 1xx answer but 100 Continue, which the
 	// caller's own connection sends when the body is first read; it may be nil.
 	Inform func(status int, h http.Header)
@@ -43,7 +48,8 @@
 	leastConnections   = 2
 )
 
-// Send sends o once. The error is a *Failure. The connection of an answer is
+// Send sends o once, or twice when o allows that and the first send met a
+// silent connection. The error is a *Failure. The connection of an answer is
 // used again when its body was read to the end, and is closed, which cancels
 // the call at the backend server, when the body is closed before that or ctx is
 // done. On the documented refusal, the answer and the error are both set.
@@ -52,16 +58,70 @@
 	if o.Fresh || !o.Call.Idempotent {
 		age = freshness
 	}
+	w := s.watcher(o.Call.Service.Name)
+	w.earn()
+	patience := w.patience()
 	p := s.pool(o.Server)
-	l, err := p.get(ctx, s.http, age, s.share(o.Call.Service.Connections))
+	o.Sent = time.Now()
+	began := o.Sent
+	x := exchange{order: o, pool: p, watcher: w, age: age}
+	if o.Repeat {
+		x.patience = patience
+	}
+	resp, err := s.exchange(ctx, &x)
+	if errors.Is(err, errSilent) {
+		o.Sent = time.Now()
+		x.age, x.patience = 0, 0
+		resp, err = s.exchange(ctx, &x)
+		var f *Failure
+		switch took := time.Since(o.Sent); {
+		case err == nil && took < patience:
+			w.refund()
+			// Those last used before are most likely silent too.
+			p.drop(began)
+		case errors.As(err, &f) && f.Outcome == Rejected:
+			f.Outcome = Unknown // The first send may have run.
+		}
+	}
+	if err == nil {
+		w.latencies.Record(time.Since(o.Sent), time.Now())
+	}
+	return resp, err
+}
+
+// errSilent reports that no byte of an answer arrived in time on a reused connection.
+var errSilent = errors.New("the connection is silent")
+
+// exchange is one send of an order.
+type exchange struct {
+	order    *Order
+	pool     *pool
+	watcher  *watcher
+	age      time.Duration // Longest idle time of the connection; 0 demands a new one.
+	patience time.Duration // Longest wait on a reused connection; 0 means until ctx is done.
+}
+
+func (s *Sender) exchange(ctx context.Context, x *exchange) (*http.Response, error) {
+	o, p := x.order, x.pool
+	l, err := p.get(ctx, s.http, x.age, s.share(o.Call.Service.Connections))
 	if err != nil {
 		return nil, failure(ctx, Rejected, "connect", err)
 	}
-	reused := !l.used.IsZero()
+	reused, began := !l.used.IsZero(), time.Now()
 	l.conn.begin()
 	i := &informer{inform: o.Inform}
 	defer i.end()
+	silent := func() bool { return false }
+	if reused && x.patience > 0 {
+		silent = x.watcher.start(l, x.patience).stop
+	}
 	resp, err := l.RoundTrip(outgoing(httptrace.WithClientTrace(ctx, i.trace()), o))
+	if silent() && ctx.Err() == nil {
+		if err == nil {
+			_ = resp.Body.Close()
+		}
+		return nil, errSilent
+	}
 	if err == nil && resp.StatusCode == http.StatusSwitchingProtocols {
 		_ = resp.Body.Close()
 		_ = l.Close()
@@ -71,7 +131,7 @@
 		wrote, answered := l.conn.seal()
 		_ = l.Close()
 		if reused && !answered {
-			p.drop()
+			p.drop(began)
 		}
 		if !wrote {
 			return nil, failure(ctx, Rejected, "write", err)
@@ -101,7 +161,7 @@
 		DialContext: dial, DisableCompression: true, Protocols: protocols,
 		ExpectContinueTimeout: continueTimeout, MaxResponseHeaderBytes: maxAnswerHeader,
 	}
-	s.pools = make(map[netip.AddrPort]*pool)
+	s.pools, s.watchers = make(map[netip.AddrPort]*pool), make(map[string]*watcher)
 }
 
 func (s *Sender) pool(server netip.AddrPort) *pool {
@@ -143,7 +203,7 @@
 	}
 	s.mu.Unlock()
 	for _, p := range drop {
-		p.drop()
+		p.drop(time.Now())
 	}
 }
 
--- a/internal/instance/runner/attempt.go
+++ b/internal/instance/runner/attempt.go
@@ -51,7 +51,7 @@
 		Call: c, Request: t.r, Body: body, Server: slot.Server, Attempt: c.Attempt + a.Number - 1,
 		Budget: a.Budget, Inform: t.inform,
 		// Only a first attempt that can be hedged may meet a silent connection.
-		Fresh: a.Number > 1 || !t.hedge,
+		Fresh: a.Number > 1 || !t.hedge, Repeat: t.hedge,
 	}
 	if t.hedge {
 		o.Inform = nil // Two attempts must not write to the caller at a time.
@@ -59,9 +59,8 @@
 	if !t.hedge {
 		t.guard.Send()
 	}
-	start := time.Now()
 	resp, err := t.sender.Send(ctx, o)
-	result := measure(resp, err, time.Since(start))
+	result := measure(resp, err, time.Since(o.Sent))
 	if err == nil {
 		return &answer{resp: resp, slot: slot, result: result}, nil
 	}
