--- /dev/null
+++ b/cmd/sardinelever/docs_test.go
@@ -0,0 +1,101 @@
+package main_test
+
+import (
+	"io/fs"
+	"os"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"testing"
+
+	"sardinelever.example/sardinelever/internal/config/parser"
+)
+
+// TestOperations guards against log lines, metrics, reasons and causes of
+// audit entries that the page for operators does not explain, and against log
+// lines and metrics on the page that the code no longer has.
+func TestOperations(t *testing.T) {
+	page, err := os.ReadFile("../../docs/operations.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	patterns := []*regexp.Regexp{
+		regexp.MustCompile(`Msg\("([a-z]+: [^"]+)"\)`),
+		regexp.MustCompile(`"(sardinelever_\w+)"`),
+		regexp.MustCompile(`Reason: "([a-z]+)"`),
+		regexp.MustCompile(`failure\(ctx, \w+, "([a-z]+)"`),
+		regexp.MustCompile(`unknown\("([a-z]+)"\)`),
+		regexp.MustCompile(`(?:report\.Reason|reason) = .*"([a-z]+)"`),
+		regexp.MustCompile(`(?:Full|Late|None) = "([a-z]+)"`),
+	}
+	found := 0
+	for _, text := range sources(t) {
+		for _, p := range patterns {
+			for _, m := range p.FindAllStringSubmatch(text, -1) {
+				found++
+				if !strings.Contains(string(page), "`"+m[1]+"`") {
+					t.Errorf("docs/operations.md does not have `%s`", m[1])
+				}
+			}
+		}
+		for _, m := range cause.FindAllStringSubmatch(text, -1) {
+			if !strings.Contains(string(page), "`"+strings.TrimSpace(m[1])) {
+				t.Errorf("docs/operations.md does not have the cause `%s`", m[1])
+			}
+		}
+	}
+	code := strings.Join(sources(t), "")
+	for _, m := range regexp.MustCompile("(?m)^\\| `([a-z]+: [^`]+|sardinelever_\\w+)` \\|").FindAllSubmatch(page, -1) {
+		if !strings.Contains(code, `"`+string(m[1])+`"`) {
+			t.Errorf("docs/operations.md has `%s`, which the code does not", m[1])
+		}
+	}
+	if found < 40 {
+		t.Errorf("got %d texts in the code, want at least 40", found)
+	}
+}
+
+// cause matches the constant beginning of the cause of an audit entry.
+var cause = regexp.MustCompile(`(?:Cause: |note\((?:now, \w+|v|\w+\.version|"list"|\w+\.Name), )"([a-z][^"]*)`)
+
+// TestExamples guards against service files on pages that the program refuses.
+func TestExamples(t *testing.T) {
+	block := regexp.MustCompile("(?s)```toml\n(.*?)```")
+	for _, page := range []string{"../../README.md", "../../docs/settings.md"} {
+		text, err := os.ReadFile(page)
+		if err != nil {
+			t.Fatal(err)
+		}
+		blocks := block.FindAllSubmatch(text, -1)
+		if len(blocks) == 0 {
+			t.Errorf("%s has no service file", page)
+		}
+		for _, b := range blocks {
+			if _, err := parser.ParseService(page, b[1]); err != nil {
+				t.Error(err)
+			}
+		}
+	}
+}
+
+// sources returns the code of the program without stand-ins and load tests.
+func sources(t *testing.T) (texts []string) {
+	err := filepath.WalkDir("../../internal", func(path string, d fs.DirEntry, err error) error {
+		if err != nil {
+			return err
+		}
+		if name := d.Name(); d.IsDir() && (name == "standin" || name == "load") {
+			return filepath.SkipDir
+		}
+		if !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") {
+			return nil
+		}
+		text, err := os.ReadFile(path)
+		texts = append(texts, string(text))
+		return err
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return texts
+}
--- a/internal/call/classifier/classifier.go
+++ b/internal/call/classifier/classifier.go
@@ -37,7 +37,7 @@
 func Classify(m *mapper.Map, r *http.Request, now time.Time) (*Call, error) {
 	s, path := find(m, r)
 	if s == nil {
-		return nil, errors.Wrapf(ErrService, "%s %s", r.Host, r.URL.Path)
+		return nil, errors.Wrapf(ErrService, "host %q, path %q", r.Host, r.URL.Path)
 	}
 	c := &Call{Service: s, Path: path}
 	deadline := c.route(r)
@@ -52,10 +52,8 @@
 	if h, _, err := net.SplitHostPort(host); err == nil {
 		host = h
 	}
-	for _, s := range m.Services {
-		if slices.Contains(s.Hosts, host) {
-			return s, r.URL.Path
-		}
+	if s := m.Hosts[host]; s != nil {
+		return s, r.URL.Path
 	}
 	name, rest, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/"), "/")
 	return m.Services[name], "/" + rest
--- a/internal/fleet/registrar/beat.go
+++ b/internal/fleet/registrar/beat.go
@@ -15,6 +15,7 @@
 )
 
 const (
+	steps     = 10       // Steps of Run in one period of heartbeats.
 	maxChecks = 8        // Concurrent dials of silent members.
 	maxIn     = 64 << 10 // Largest incoming control message; large answers come on streams of the asker.
 	maxQueue  = 8        // Messages that wait for one neighbour.
@@ -26,50 +27,39 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer r.tasks.Wait()
 	defer cancel()
-	tick := time.NewTicker(r.Step)
+	tick := time.NewTicker(r.Period / steps)
 	defer tick.Stop()
-	last := r.Clock()
-	beat, recheck := last, last.Add(r.Recheck)
+	beats := Beats{Period: r.Period}
+	recheck := r.Clock().Add(r.Recheck)
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
 		case <-r.kick:
-			beat = time.Time{}
+			beats.Next = time.Time{}
+		case <-r.wake:
 		case <-tick.C:
 		}
-		now := r.Clock()
-		if gap := Gap(last, now); gap > r.Gap {
-			r.resume(now, gap)
-			beat = now
+		if r.Check != nil {
+			r.Check()
 		}
-		last = now
+		now := r.Clock()
 		r.update((*Table).Tick)
 		r.check(ctx)
 		if !now.Before(recheck) {
 			recheck = now.Add(r.Recheck/2 + rand.N(r.Recheck))
 			r.recheck(ctx)
 		}
-		if !now.Before(beat) {
-			beat = now.Add(r.Period)
+		if beats.Due(now, r.fresh()) {
 			r.beat(ctx)
 		}
 	}
 }
 
-// Gap returns the time from a to b by the monotonic or the wall clock, whichever
-// is longer: the monotonic clock stands still while a machine sleeps.
-func Gap(a, b time.Time) time.Duration { return max(b.Sub(a), b.Round(0).Sub(a.Round(0))) }
-
-func (r *Registrar) resume(now time.Time, gap time.Duration) {
-	r.Audit.Note(auditor.Change{
-		Time: now, Part: "fleet", Subject: "instance " + r.Name, Cause: "process was paused for " + gap.String(),
-		Before: "paused", After: "resumed",
-	})
-	r.update((*Table).Resume)
-	for _, f := range r.OnPause {
-		f(gap)
-	}
+func (r *Registrar) fresh() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.table.Fresh()
 }
 
 // beat sends a heartbeat to each neighbour.
@@ -183,10 +173,7 @@
 		t.Dialed(now, m, from, err)
 		if s := r.senders[m.Name]; s != nil && err == nil {
 			// The stream in use may be the silent one.
-			select {
-			case s.reset <- struct{}{}:
-			default:
-			}
+			signal(s.reset)
 		}
 	})
 }
--- a/internal/fleet/registrar/fleet_test.go
+++ b/internal/fleet/registrar/fleet_test.go
@@ -13,6 +13,7 @@
 	"sardinelever.example/sardinelever/internal/fleet/linker"
 	"sardinelever.example/sardinelever/internal/fleet/messenger"
 	"sardinelever.example/sardinelever/internal/fleet/registrar"
+	"sardinelever.example/sardinelever/internal/instance/detector"
 	"sardinelever.example/sardinelever/internal/operator/auditor"
 	"sardinelever.example/sardinelever/internal/standin/breaker"
 	"sardinelever.example/sardinelever/internal/standin/fleeter"
@@ -71,7 +72,8 @@
 func TestKilled(t *testing.T) {
 	all := fleet(t, 10, period)
 	dead, rest := all[0], all[1:]
-	eventually(t, "heartbeats", func() bool { return all[1].Find("i2").Incarnation+all[2].Find("i1").Incarnation > 0 })
+	// Which members are neighbours depends on the hashes of their names.
+	eventually(t, "heartbeats", func() bool { return !slices.ContainsFunc(all, deaf) })
 	dead.Stop()
 	everywhere(t, rest, "i0", registrar.Suspect, registrar.Gone)
 	everywhere(t, rest, "i0", registrar.Gone)
@@ -84,6 +86,11 @@
 	})
 }
 
+// deaf reports that x has heard no other instance.
+func deaf(x *instance) bool {
+	return !slices.ContainsFunc(x.Members(), func(m registrar.Member) bool { return !m.Self && m.Incarnation > 0 })
+}
+
 // TestUnlisted guards against an instance that nobody uses while the list lags.
 func TestUnlisted(t *testing.T) {
 	all := fleet(t, 3, period)
@@ -161,11 +168,10 @@
 	others := fleet(t, 3, period)
 	var slept atomic.Int64
 	gaps := make(chan time.Duration, 16)
-	x := launch(t, &instance{Period: period, Registrar: &registrar.Registrar{
-		Name:    "sleeper",
-		Clock:   func() time.Time { return time.Now().Add(time.Duration(slept.Load())) },
-		OnPause: []func(time.Duration){func(d time.Duration) { gaps <- d }},
-	}})
+	r := &registrar.Registrar{Name: "sleeper", Clock: func() time.Time { return time.Now().Add(time.Duration(slept.Load())) }}
+	d := &detector.Detector{Now: r.Clock, Paused: func(gap time.Duration) { r.Resume(); gaps <- gap }}
+	r.Check = d.Check
+	x := launch(t, &instance{Period: period, Registrar: r})
 	all := append(others, x)
 	fleeter.Share(all, all, nil)
 	eventually(t, "heartbeats", func() bool { return x.Find("i0").Incarnation > 0 })
--- a/internal/operator/auditor/auditor.go
+++ b/internal/operator/auditor/auditor.go
@@ -25,7 +25,7 @@
 	ring ringer.Ring[Change]
 }
 
-// Note records c; a zero Time means now.
+// Note records c; a zero Time means now. It waits for nothing but the log.
 func (a *Auditor) Note(c Change) {
 	if a == nil {
 		return
@@ -38,8 +38,8 @@
 	if l == nil {
 		l = &log.DefaultLogger
 	}
-	l.Info().Str("part", c.Part).Str("subject", c.Subject).Str("cause", c.Cause).
-		Str("before", c.Before).Str("after", c.After).Msg("audit: change")
+	l.Info().Str("subject", c.Subject).Str("cause", c.Cause).
+		Str("before", c.Before).Str("after", c.After).Msg(c.Part + ": audited change")
 }
 
 // Changes returns the recorded changes, oldest first.
