Test that idle connections of a silent server are dropped

Cause: TestSilence passed when the idle connections to the server stayed open, because later calls took the newest connection and never met them.

Change: two calls overlap after two idle connections went silent, so the second one meets the other connection unless it was closed.

Conclusion: the drop is now guarded; the code is unchanged.

--- a/internal/call/sender/silence_test.go
+++ b/internal/call/sender/silence_test.go
@@ -53,24 +53,19 @@
 	})
 	var s sender.Sender
 	learn(t, &s, b)
-	// Two calls at a time leave two idle connections.
-	first, err := s.Send(t.Context(), repeatable(b))
-	second, err2 := s.Send(t.Context(), repeatable(b))
-	read(t, first, err)
-	read(t, second, err2)
-	silent.Store(b.conns.Load())
 	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
 	defer cancel()
-	// A connection becomes idle shortly after its answer was read, so the first
-	// calls may still find none.
-	for more := 5; more > 0; {
-		resp, err := s.Send(ctx, repeatable(b))
-		if got := read(t, resp, err); got != "hello" {
-			t.Errorf("got answer %q, want %q", got, "hello")
+	// Two calls at a time leave two idle connections; then both are silent.
+	for range 2 {
+		first, err := s.Send(ctx, repeatable(b))
+		second, err2 := s.Send(ctx, repeatable(b))
+		if got := read(t, first, err) + read(t, second, err2); got != "hellohello" {
+			t.Errorf("got answers %q, want hello twice", got)
 		}
-		if len(met) > 0 {
-			more--
+		for s.Active(b.addr(), 0) {
+			time.Sleep(time.Millisecond) // Until both connections are idle.
 		}
+		silent.Store(b.conns.Load())
 	}
 	<-closed // The server saw that the first run was cancelled.
 	if got := len(met); got != 1 {
