--- a/internal/instance/runner/failure_test.go
+++ b/internal/instance/runner/failure_test.go
@@ -29,7 +29,7 @@
 
 // deployment is an instance with backend servers behind breakers.
 type deployment struct {
-	t        *testing.T
+	t        testing.TB
 	url      string
 	operator string // URL of the operators' listener.
 	breakers []*breaker.Injector
@@ -40,7 +40,7 @@
 	id       string // Identity of the calls.
 }
 
-func deploy(t *testing.T, servers int) *deployment {
+func deploy(t testing.TB, servers int) *deployment {
 	d := &deployment{t: t, arrived: make(chan bool, 100), left: make(chan bool, 100)}
 	entries := make([]reader.Entry, 0, servers)
 	for i := range servers {
