Keep the defaults of service files in one place

Cause: classifier, sender and granter repeated defaults that parser has, and two tests and try started goroutines without a method. Change: the map of services holds services with their defaults; the copies go. The benchmark of a call goes through the same injector in both cases.

--- a/cmd/sardinelever/try.go
+++ b/cmd/sardinelever/try.go
@@ -44,9 +44,9 @@
 			return err
 		}
 		s.Entries = append(s.Entries, reader.Entry{Name: settings.Name, Address: settings.Callers, Peer: settings.Peers, Zone: settings.Zone, Region: "home"})
-		r := &runner.Runner{Log: quiet, Settings: settings}
+		r := &instance{Runner: runner.Runner{Log: quiet, Settings: settings}, ctx: ctx}
 		t.instances = append(t.instances, r)
-		g.Go(func() error { return r.Run(ctx) })
+		g.Go(r.run)
 	}
 	s.Platform.SetList(s.Entries)
 	err := t.run(ctx)
@@ -86,9 +86,17 @@
 	}
 }
 
+// instance is an entry instance of a trial.
+type instance struct {
+	runner.Runner
+	ctx context.Context
+}
+
+func (i *instance) run() error { return i.Run(i.ctx) }
+
 // trial sends calls to the instances in turn and counts the answers.
 type trial struct {
-	instances []*runner.Runner
+	instances []*instance
 	calls     int
 }
 
--- a/internal/call/classifier/classifier.go
+++ b/internal/call/classifier/classifier.go
@@ -25,8 +25,6 @@
 	maxDeadline = 24 * time.Hour
 )
 
-const defaultDeadline = 10 * time.Second
-
 // Sentinels of calls that cannot be classified.
 var (
 	ErrService = errors.New("no service matches host or path")
@@ -65,7 +63,7 @@
 	c.Rank = parser.Normal
 	deadline := c.Service.Deadline.Std()
 	if deadline == 0 {
-		deadline = defaultDeadline
+		deadline = parser.DefaultDeadline
 	}
 	for i := range c.Service.Routes {
 		t := &c.Service.Routes[i]
--- a/internal/call/sender/bytes.go
+++ b/internal/call/sender/bytes.go
@@ -4,6 +4,8 @@
 	"sync"
 
 	"golang.org/x/sync/semaphore"
+
+	"sardinelever.example/sardinelever/internal/config/parser"
 )
 
 // Bytes bounds the body bytes that this instance holds per service; the zero
@@ -18,15 +20,12 @@
 	size int
 }
 
-// defaultBytes is used when the service sets no limit: 64 MiB.
-const defaultBytes = 64 << 20
-
 // Take reserves n bytes of the limit of service and returns the function that
 // gives them back; it returns false when the limit is reached. A limit of 0
-// means 64 MiB.
+// means parser.DefaultBytes.
 func (b *Bytes) Take(service string, limit int, n int64) (free func(), ok bool) {
 	if limit == 0 {
-		limit = defaultBytes
+		limit = parser.DefaultBytes
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/internal/call/sender/sender.go
+++ b/internal/call/sender/sender.go
@@ -12,6 +12,7 @@
 	"github.com/pkg/errors"
 
 	"sardinelever.example/sardinelever/internal/call/classifier"
+	"sardinelever.example/sardinelever/internal/config/parser"
 )
 
 // Sender sends calls to backend servers; the zero value is ready to use.
@@ -43,10 +44,8 @@
 	Inform func(status int, h http.Header)
 }
 
-const (
-	defaultConnections = 250
-	leastConnections   = 2
-)
+// leastConnections keeps one connection usable while another may be silent.
+const leastConnections = 2
 
 // Send sends o once, or twice when o allows that and the first send met a
 // silent connection. The error is a *Failure. The connection of an answer is
@@ -212,7 +211,7 @@
 // may be silent.
 func (s *Sender) share(connections int) int {
 	if connections == 0 {
-		connections = defaultConnections
+		connections = parser.DefaultConnections
 	}
 	n := 1
 	if s.Instances != nil {
--- a/internal/config/parser/settings.go
+++ b/internal/config/parser/settings.go
@@ -13,7 +13,7 @@
 	Platform string         `toml:"platform"`         // Base URL of the platform.
 	Notice   Duration       `toml:"notice,omitempty"` // Time between readiness false and the end of accepting calls; 0 means 5s.
 	Plain    bool           `toml:"plain,omitempty"`  // Plain allows unencrypted links between instances.
-	Margin   Duration       `toml:"margin,omitempty"` // Lag of the platform's list, clock error and 10s together; 0 means 30s.
+	Margin   Duration       `toml:"margin,omitempty"` // Lag of the platform's list, twice the clock error and 15s together; 0 means 30s.
 	Policy   string         `toml:"policy,omitempty"` // Dispatch: grant, random, round or least; empty means grant.
 	Level    string         `toml:"level,omitempty"`  // Least level of log lines: debug, info, warn or error; empty means info.
 	TLS      TLS            `toml:"tls,omitempty"`
--- a/internal/fleet/linker/linker_test.go
+++ b/internal/fleet/linker/linker_test.go
@@ -39,13 +39,24 @@
 		t.Fatal(err)
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	var wg sync.WaitGroup
-	wg.Go(func() { _ = l.Run(ctx) })
-	stop = func() { cancel(); wg.Wait() }
+	r := &running{linker: l, ended: make(chan struct{})}
+	go r.run(ctx)
+	stop = func() { cancel(); <-r.ended }
 	t.Cleanup(stop)
 	return stop
 }
 
+// running is a Linker whose Run has not ended yet.
+type running struct {
+	linker *linker.Linker
+	ended  chan struct{}
+}
+
+func (r *running) run(ctx context.Context) {
+	_ = r.linker.Run(ctx)
+	close(r.ended)
+}
+
 func within(t testing.TB) context.Context {
 	ctx, cancel := context.WithTimeout(t.Context(), limit)
 	t.Cleanup(cancel)
@@ -80,27 +91,34 @@
 	t.Run("tls", func(t *testing.T) { testOpen(t, false, issue(t, t.TempDir(), &certifier.Authority{})) })
 }
 
+// openers open streams at the same time.
+type openers struct{ sync.WaitGroup }
+
+func (o *openers) run(t *testing.T, a, b *linker.Linker) {
+	defer o.Done()
+	c, err := a.Open(within(t), b.Addr(), linker.Call)
+	if err != nil {
+		t.Error(err)
+		return
+	}
+	exchange(t, c, "hello")
+	if got := c.(*linker.Stream).From().Name; got != "b" {
+		t.Errorf("got peer %q, want b", got)
+	}
+	_ = c.Close()
+}
+
 func testOpen(t *testing.T, plain bool, files parser.TLS) {
 	a := &linker.Linker{Name: "a", Incarnation: 1, Plain: plain, TLS: files}
 	b := &linker.Linker{Name: "b", Incarnation: 2, Plain: plain, TLS: files}
 	start(t, a)
 	start(t, b)
-	var wg sync.WaitGroup
+	var o openers
 	for range 20 {
-		wg.Go(func() {
-			c, err := a.Open(within(t), b.Addr(), linker.Call)
-			if err != nil {
-				t.Error(err)
-				return
-			}
-			exchange(t, c, "hello")
-			if got := c.(*linker.Stream).From().Name; got != "b" {
-				t.Errorf("got peer %q, want b", got)
-			}
-			_ = c.Close()
-		})
+		o.Add(1)
+		go o.run(t, a, b)
 	}
-	wg.Wait()
+	o.Wait()
 	eventually(t, "accepted session", func() bool { return len(b.Counts().Sessions) == 1 })
 	c, err := b.Open(within(t), a.Addr(), linker.Control)
 	if err != nil {
--- a/internal/instance/runner/bench_test.go
+++ b/internal/instance/runner/bench_test.go
@@ -7,11 +7,12 @@
 )
 
 // BenchmarkCall measures a read through an instance with its own home, and
-// directly, over loopback: the difference is what the filters and one more hop add.
+// directly, over loopback and the same fault injector: the difference is what the
+// filters and one more hop add.
 func BenchmarkCall(b *testing.B) {
 	d := deploy(b, 1)
 	for _, bc := range []struct{ name, url string }{
-		{"direct", "http://" + d.breakers[0].Server.String()},
+		{"direct", "http://" + d.first.String()},
 		{"instance", d.url},
 	} {
 		b.Run(bc.name, func(b *testing.B) {
--- a/internal/instance/runner/failure_test.go
+++ b/internal/instance/runner/failure_test.go
@@ -33,6 +33,7 @@
 	url      string
 	operator string // URL of the operators' listener.
 	breakers []*breaker.Injector
+	first    netip.AddrPort // Of the first backend server, behind its breaker.
 	runs     atomic.Int64
 	arrived  chan bool // Gets a value for each call to /hold.
 	left     chan bool // Gets a value for each call to /hold that was cancelled.
@@ -52,6 +53,9 @@
 			t.Fatal(err)
 		}
 		t.Cleanup(b.Stop)
+		if i == 0 {
+			d.first = addr
+		}
 		d.breakers = append(d.breakers, b)
 		entries = append(entries, reader.Entry{Name: fmt.Sprint("s-", i), Address: addr, Zone: "a", Region: "home", Service: "s"})
 	}
--- a/internal/route/granter/pool.go
+++ b/internal/route/granter/pool.go
@@ -44,10 +44,6 @@
 }
 
 const (
-	defaultNormal  = 0.10
-	defaultPatient = 0.05
-	defaultCalls   = 64
-
 	// grace is the time after the deadline of a call at which its slot counts
 	// as lost; the entry cancels the call at the deadline and then says so.
 	grace = 250 * time.Millisecond
@@ -73,7 +69,7 @@
 	}
 	var members []mapper.BackendServer
 	if s := m.Services[p.Key.Service]; s != nil {
-		p.config = *s.Service
+		p.config = s.Service.WithDefaults()
 		members = Members(s, p.Key)
 	}
 	if first {
--- a/internal/route/granter/serve.go
+++ b/internal/route/granter/serve.go
@@ -38,11 +38,7 @@
 
 // capacity returns the bound of each queue.
 func (p *Pool) capacity() int {
-	calls := p.config.Queue.Calls
-	if calls == 0 {
-		calls = defaultCalls
-	}
-	return calls * max(p.config.Slots, 1) * len(p.servers.Servers())
+	return p.config.Queue.Calls * max(p.config.Slots, 1) * len(p.servers.Servers())
 }
 
 // reserve returns the free slots that are kept for urgent calls: one from 14
@@ -57,14 +53,10 @@
 }
 
 func (p *Pool) floor(r parser.Rank) float64 {
-	share, usual := p.config.Floors.Patient, defaultPatient
 	if r == parser.Normal {
-		share, usual = p.config.Floors.Normal, defaultNormal
-	}
-	if share == 0 {
-		return usual
+		return p.config.Floors.Normal
 	}
-	return share
+	return p.config.Floors.Patient
 }
 
 // serve grants one slot: to a lower rank that has credit for a call, else to
--- a/internal/route/mapper/map.go
+++ b/internal/route/mapper/map.go
@@ -38,8 +38,8 @@
 	}
 	m.Version = b.Version
 	for i := range b.Services {
-		s := &b.Services[i]
-		m.Services[s.Name] = &Service{Service: s}
+		s := b.Services[i].WithDefaults()
+		m.Services[s.Name] = &Service{Service: &s}
 		for _, h := range s.Hosts {
 			m.Hosts[h] = m.Services[s.Name]
 		}
