Count floors in slot time

Change: a grant credits waiting lower ranks with their share of its slot time, and a lower rank pays the slot time of its own calls; 10% more make up for the time between two calls on a slot.

--- a/internal/route/granter/flood_test.go
+++ b/internal/route/granter/flood_test.go
@@ -62,6 +62,22 @@
 	}
 }
 
+// TestFloorOfLongCalls guards against a floor counted in calls: patient calls of
+// 5 times the urgent service time would take 5 times their share of the slots.
+func TestFloorOfLongCalls(t *testing.T) {
+	const length = 5
+	s := newSimulation(servers, 23)
+	newHome(s, parser.Service{Slots: slots})
+	s.arrive(job{rank: parser.Urgent, work: work, deadline: deadline(time.Second)}, 5*capacity, 0, floodSpan)
+	s.arrive(job{rank: parser.Patient, work: length * work, deadline: deadline(30 * time.Second)}, 0.2*capacity, 0, floodSpan)
+	s.run(floodSpan)
+	got := length * float64(served(s.jobs, parser.Patient)) / floodSpan.Seconds() / capacity
+	t.Logf("patient: %.3f of the slots", got)
+	if got < 0.9*0.05 || got > 2*0.05 {
+		t.Errorf("got %.3f of the slots for patient calls, want about their floor of 0.05", got)
+	}
+}
+
 // TestImpatient guards against a home that under overload serves calls whose
 // callers have given up.
 func TestImpatient(t *testing.T) {
--- a/internal/route/granter/keep.go
+++ b/internal/route/granter/keep.go
@@ -31,7 +31,7 @@
 		return
 	}
 	p.servers.Apply(now, g.server, r)
-	p.hold += holdGain * (float64(now.Sub(g.since)) - p.hold)
+	p.learn(now, g)
 	g.kept, g.deadline = true, now.Add(KeepTime)
 	p.kept++
 	if !p.spare(now) || g.server.InFlight() > g.server.Limit() {
@@ -48,7 +48,7 @@
 	}
 	g.kept, g.recalled = false, false
 	p.kept--
-	g.since, g.deadline = now, deadline
+	g.rank, g.since, g.deadline = min(rank, parser.Patient), now, deadline
 	if rank == parser.Urgent {
 		p.urgent = now
 	}
--- a/internal/route/granter/pool.go
+++ b/internal/route/granter/pool.go
@@ -37,6 +37,7 @@
 // grant is a slot in use.
 type grant struct {
 	server   *tracker.Server
+	rank     parser.Rank
 	since    time.Time
 	deadline time.Time
 	kept     bool // No call uses the slot; the entry keeps it for its next one.
@@ -245,7 +246,7 @@
 // grant counts a slot of s as in use by a.
 func (p *Pool) grant(now time.Time, s *tracker.Server, a Ask) {
 	p.servers.Take(s)
-	p.grants[a.ID] = &grant{server: s, since: now, deadline: a.Deadline}
+	p.grants[a.ID] = &grant{server: s, rank: a.Rank, since: now, deadline: a.Deadline}
 }
 
 // release ends a grant; r is nil when the result is unknown.
@@ -264,7 +265,7 @@
 		p.servers.Finish(now, g.server, *r)
 		p.recallFrom(now, g.server)
 		if !r.Failed && !r.Refused && !r.Lost {
-			p.hold += holdGain * (float64(now.Sub(g.since)) - p.hold)
+			p.learn(now, g)
 		}
 	}
 	if g.server.State(now) == tracker.Leaving && g.server.InFlight() == 0 && !p.member(g.server.Address) {
@@ -273,6 +274,13 @@
 	return true
 }
 
+// learn takes in the time for which a call that was answered used its slot.
+func (p *Pool) learn(now time.Time, g *grant) {
+	held := float64(now.Sub(g.since))
+	p.hold += holdGain * (held - p.hold)
+	p.queues[g.rank].held(held)
+}
+
 func (p *Pool) member(addr netip.AddrPort) bool {
 	s := p.known.Services[p.Key.Service]
 	return s != nil && slices.ContainsFunc(s.Servers, func(b mapper.BackendServer) bool { return b.Address == addr })
--- a/internal/route/granter/queue.go
+++ b/internal/route/granter/queue.go
@@ -14,11 +14,20 @@
 // queue holds the asks of one rank in order of arrival.
 type queue struct {
 	asks    list.List
-	credit  float64 // Share of a call that the floor of the rank has earned.
+	credit  float64 // Slot time that the floor of the rank has earned, in nanoseconds.
+	hold    float64 // EWMA of the time that a call of the rank uses a slot, in nanoseconds; 0 before any ended.
 	granted uint64
 	refused map[string]uint64
 }
 
+// held takes in the time for which a call of the rank used its slot.
+func (q *queue) held(time float64) {
+	if q.hold == 0 {
+		q.hold = time
+	}
+	q.hold += holdGain * (time - q.hold)
+}
+
 func (q *queue) len() int { return q.asks.Len() }
 
 // standing is the wait of the oldest ask above which the newest is served
--- a/internal/route/granter/serve.go
+++ b/internal/route/granter/serve.go
@@ -63,7 +63,7 @@
 // urgent, normal and patient in this order. It reports whether it granted one.
 func (p *Pool) serve(now time.Time) bool {
 	for r := parser.Normal; r <= parser.Patient; r++ {
-		if p.queues[r].credit >= 1 && p.serveRank(now, r) {
+		if p.queues[r].credit >= p.holdOf(r) && p.serveRank(now, r) {
 			return true
 		}
 	}
@@ -101,20 +101,36 @@
 	return false
 }
 
-// maxCredit lets a rank keep the fraction by which its credit exceeds a call.
-const maxCredit = 2
+const (
+	// maxCredit lets a rank keep the fraction by which its credit exceeds a call.
+	maxCredit = 2
+	// transfer makes up for the time between an answer and the next call on the
+	// same slot, which belongs to no call: floors are shares of all slot time.
+	transfer = 1.1
+)
+
+// holdOf returns the time that a call of rank r is expected to use a slot.
+func (p *Pool) holdOf(r parser.Rank) float64 {
+	if h := p.queues[r].hold; h > 0 {
+		return h
+	}
+	return p.hold
+}
 
-// earn books a grant of rank r: lower ranks that wait get credit for it, and
-// the served rank pays for its call.
+// earn books a grant of rank r: lower ranks that wait get their share of its
+// slot time as credit, and the served rank pays for its own. Counted in calls
+// instead, a rank with long calls would get a multiple of its floor.
 func (p *Pool) earn(served parser.Rank) {
 	p.queues[served].granted++
+	used := p.holdOf(served)
 	for r := parser.Normal; r <= parser.Patient; r++ {
 		q := &p.queues[r]
 		if q.len() > 0 {
-			q.credit = min(q.credit+p.floor(r), maxCredit)
+			gain := transfer * p.floor(r) * used
+			q.credit = min(q.credit+gain, maxCredit*max(p.holdOf(r), gain))
 		}
 		if r == served {
-			q.credit = max(q.credit-1, 0)
+			q.credit = max(q.credit-used, 0)
 		}
 	}
 }
