--- /dev/null
+++ b/internal/flow/sleeper/doc.go
@@ -0,0 +1,2 @@
+// Package sleeper waits for a time unless a context ends before.
+package sleeper
--- a/internal/load/driver/call.go
+++ b/internal/load/driver/call.go
@@ -14,6 +14,7 @@
 	"github.com/google/uuid"
 	"github.com/pkg/errors"
 
+	"sardinelever.example/sardinelever/internal/flow/sleeper"
 	"sardinelever.example/sardinelever/internal/load/planner"
 	"sardinelever.example/sardinelever/internal/load/recorder"
 	"sardinelever.example/sardinelever/internal/standin/worker"
@@ -48,7 +49,7 @@
 		c.Attempts = append(c.Attempts, a)
 		c.Latency = time.Since(c.Start)
 		retry := a.Outcome == recorder.NotRun || a.Outcome == recorder.Unknown || a.Outcome == recorder.Cut
-		if !retry || n >= c.Arrival.Stream.Retries || !sleep(ctx, time.Duration(n+1)*retryDelay) {
+		if !retry || n >= c.Arrival.Stream.Retries || !sleeper.Sleep(ctx, time.Duration(n+1)*retryDelay) {
 			break
 		}
 		base = c.driver.Entrance.pick(base)
--- a/internal/load/driver/driver.go
+++ b/internal/load/driver/driver.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"sardinelever.example/sardinelever/internal/flow/sleeper"
 	"sardinelever.example/sardinelever/internal/load/planner"
 	"sardinelever.example/sardinelever/internal/load/recorder"
 )
@@ -40,7 +41,7 @@
 		a := &d.Plan[i]
 		c := &call{driver: d, done: &all}
 		c.Arrival, c.Start, c.Name = a, d.Start.Add(a.At), fmt.Sprintf("%d-%d", d.Start.UnixNano(), i)
-		if !sleep(ctx, time.Until(c.Start)) {
+		if !sleeper.Sleep(ctx, time.Until(c.Start)) {
 			break
 		}
 		all.Add(1)
@@ -48,17 +49,3 @@
 	}
 	all.Wait()
 }
-
-func sleep(ctx context.Context, d time.Duration) bool {
-	if d <= 0 {
-		return ctx.Err() == nil
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/platform/reader/config_follower.go
+++ b/internal/platform/reader/config_follower.go
@@ -9,6 +9,8 @@
 	"github.com/phuslu/log"
 	"github.com/pkg/errors"
 	"golang.org/x/time/rate"
+
+	"sardinelever.example/sardinelever/internal/flow/sleeper"
 )
 
 // Offerer takes the bundles that a ConfigFollower reads; *keeper.Keeper is one.
@@ -65,7 +67,7 @@
 		switch {
 		case f.Reader == nil || f.Reader():
 			if err := f.call(ctx, f.Wait); err != nil {
-				pause(ctx, f.delay.next())
+				sleeper.Sleep(ctx, f.delay.next())
 			}
 			continue
 		case f.Heard != nil && f.Heard():
@@ -80,7 +82,7 @@
 			}
 			next = time.Now().Add(wait)
 		}
-		pause(ctx, roleCheck)
+		sleeper.Sleep(ctx, roleCheck)
 	}
 	return nil
 }
--- a/internal/platform/reader/list_follower.go
+++ b/internal/platform/reader/list_follower.go
@@ -10,6 +10,7 @@
 
 	"github.com/phuslu/log"
 
+	"sardinelever.example/sardinelever/internal/flow/sleeper"
 	"sardinelever.example/sardinelever/internal/operator/auditor"
 )
 
@@ -73,7 +74,7 @@
 			f.apply(start, f.latest)
 		}
 		f.report(err)
-		pause(ctx, wait)
+		sleeper.Sleep(ctx, wait)
 	}
 	return nil
 }
--- a/internal/platform/reader/wait.go
+++ b/internal/platform/reader/wait.go
@@ -1,7 +1,6 @@
 package reader
 
 import (
-	"context"
 	"math/rand/v2"
 	"time"
 )
@@ -22,13 +21,3 @@
 
 // spread returns d with jitter of 10% in both directions.
 func spread(d time.Duration) time.Duration { return d*9/10 + rand.N(d/5+1) }
-
-// pause waits for d or until ctx is done.
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/route/prober/probe.go
+++ b/internal/route/prober/probe.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"sardinelever.example/sardinelever/internal/flow/sleeper"
 )
 
 // maxAnswer bounds what is read of an answer, in bytes.
@@ -39,7 +41,7 @@
 	unused := outcome{skipped: true, took: t.Probe.Cost.Std()} // The connection cost the backend server something too.
 	// The wall clock may be adjusted during a sleep, so it is read again after each.
 	for wait := time.Until(t.Middle); wait > 0; wait = time.Until(t.Middle) {
-		if !sleep(ctx, wait) {
+		if !sleeper.Sleep(ctx, wait) {
 			return unused
 		}
 	}
--- a/internal/route/prober/prober.go
+++ b/internal/route/prober/prober.go
@@ -10,6 +10,8 @@
 
 	"github.com/phuslu/log"
 	"golang.org/x/sync/semaphore"
+
+	"sardinelever.example/sardinelever/internal/flow/sleeper"
 )
 
 // Figure is the result of one probe.
@@ -77,8 +79,8 @@
 		middle := Next(latest(after, ahead), p.View())
 		// The view is read again after a while, because a change may bring an earlier time slot.
 		if wait := time.Until(middle) - lead; middle.IsZero() || wait > viewWait {
-			sleep(ctx, viewWait)
-		} else if sleep(ctx, wait) {
+			sleeper.Sleep(ctx, viewWait)
+		} else if sleeper.Sleep(ctx, wait) {
 			after = middle
 			p.start(ctx, middle)
 		}
@@ -123,15 +125,3 @@
 	}
 	return b
 }
-
-// sleep waits for d and reports whether ctx is still valid then.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/standin/publisher/publisher.go
+++ b/internal/standin/publisher/publisher.go
@@ -12,6 +12,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"sardinelever.example/sardinelever/internal/flow/sleeper"
 	"sardinelever.example/sardinelever/internal/platform/reader"
 )
 
@@ -115,7 +116,7 @@
 		http.NotFound(w, r)
 		return
 	}
-	if d := time.Duration(p.Delay.Load()); d > 0 && !pause(r.Context(), d) {
+	if d := time.Duration(p.Delay.Load()); d > 0 && !sleeper.Sleep(r.Context(), d) {
 		return
 	}
 	if p.Down.Load() {
@@ -226,18 +227,6 @@
 	return p.lists[0].list
 }
 
-// pause waits for d and reports whether ctx is still valid then.
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // counter counts events in each second of the clock.
 type counter struct {
 	second, count, peak int64
