--- a/cmd/sardinelever/docs_test.go
+++ b/cmd/sardinelever/docs_test.go
@@ -15,7 +15,7 @@
 // audit entries that the page for operators does not explain, and against log
 // lines and metrics on the page that the code no longer has.
 func TestOperations(t *testing.T) {
-	page, err := os.ReadFile("../../docs/operations.md")
+	page, err := os.ReadFile("../../docs/OPERATIONS.md")
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -34,20 +34,20 @@
 			for _, m := range p.FindAllStringSubmatch(text, -1) {
 				found++
 				if !strings.Contains(string(page), "`"+m[1]+"`") {
-					t.Errorf("docs/operations.md does not have `%s`", m[1])
+					t.Errorf("docs/OPERATIONS.md does not have `%s`", m[1])
 				}
 			}
 		}
 		for _, m := range cause.FindAllStringSubmatch(text, -1) {
 			if !strings.Contains(string(page), "`"+strings.TrimSpace(m[1])) {
-				t.Errorf("docs/operations.md does not have the cause `%s`", m[1])
+				t.Errorf("docs/OPERATIONS.md does not have the cause `%s`", m[1])
 			}
 		}
 	}
 	code := strings.Join(sources(t), "")
 	for _, m := range regexp.MustCompile("(?m)^\\| `([a-z]+: [^`]+|sardinelever_\\w+)` \\|").FindAllSubmatch(page, -1) {
 		if !strings.Contains(code, `"`+string(m[1])+`"`) {
-			t.Errorf("docs/operations.md has `%s`, which the code does not", m[1])
+			t.Errorf("docs/OPERATIONS.md has `%s`, which the code does not", m[1])
 		}
 	}
 	if found < 40 {
--- a/cmd/sardinelever/run.go
+++ b/cmd/sardinelever/run.go
@@ -8,6 +8,7 @@
 
 	"sardinelever.example/sardinelever/internal/config/parser"
 	"sardinelever.example/sardinelever/internal/instance/runner"
+	"sardinelever.example/sardinelever/platform"
 )
 
 type runCommand struct {
@@ -27,7 +28,13 @@
 	}
 	// Parts without a Log of their own write to the default one.
 	log.DefaultLogger.SetLevel(log.ParseLevel(s.Level))
-	return (&runner.Runner{Settings: s}).Run(ctx)
+	r := &runner.Runner{Settings: s}
+	if s.Dialect == "cymdeithas" {
+		if r.Platform, err = platform.New(s); err != nil {
+			return err
+		}
+	}
+	return r.Run(ctx)
 }
 
 // Help returns the exit codes.
--- a/internal/call/answerer/answerer.go
+++ b/internal/call/answerer/answerer.go
@@ -4,24 +4,38 @@
 	"fmt"
 	"io"
 	"maps"
-	"math/rand/v2"
 	"net/http"
 	"slices"
 	"strconv"
 	"time"
 
+	"sardinelever.example/sardinelever/internal/call/classifier"
 	"sardinelever.example/sardinelever/internal/call/sender"
+	"sardinelever.example/sardinelever/internal/call/translator"
+	"sardinelever.example/sardinelever/internal/route/mapper"
 )
 
-// Answerer answers callers; the zero value names no instance.
+// Answerer answers callers; the zero value names no instance and speaks the product's own form.
 type Answerer struct {
-	Instance string // Value of the Sardine-Instance header.
+	Instance string
+	Dialect  translator.Dialect // nil means translator.Native.
 }
 
-// signals are headers that a backend server sends to this instance only, and
-// those that only an instance may set.
-var signals = []string{
-	"Sardine-Load", "Sardine-Drain", "Sardine-Refused", "Sardine-Outcome", "Sardine-Reason", "Sardine-Instance",
+func (a *Answerer) dialect() translator.Dialect {
+	if a.Dialect == nil {
+		return translator.Native{}
+	}
+	return a.Dialect
+}
+
+// Signals returns what the header of resp says of the backend server.
+func (a *Answerer) Signals(resp *http.Response) translator.Signals {
+	return a.dialect().Signals(resp.StatusCode, resp.Header)
+}
+
+// Classify finds rule and service of a call that arrives at now.
+func (a *Answerer) Classify(m *mapper.Map, r *http.Request, now time.Time) (*classifier.Call, error) {
+	return classifier.Classify(m, a.dialect(), r, now)
 }
 
 // Copy writes the answer of a backend server to w and closes its body. A
@@ -29,15 +43,7 @@
 // cut off, Copy aborts the caller's connection with a panic of
 // http.ErrAbortHandler, so that the caller does not take the part for the whole.
 func (a *Answerer) Copy(w http.ResponseWriter, resp *http.Response) {
-	for _, name := range signals {
-		resp.Header.Del(name)
-	}
-	if resp.StatusCode >= http.StatusInternalServerError {
-		resp.Header.Set("Sardine-Outcome", sender.Failed.String())
-	}
-	if a.Instance != "" {
-		resp.Header.Set("Sardine-Instance", a.Instance)
-	}
+	a.dialect().Mark(resp.StatusCode, resp.Header, a.Instance)
 	Relay(w, resp)
 }
 
@@ -102,41 +108,21 @@
 }
 
 // Report is what a caller is told about a call that has no answer.
-type Report struct {
-	Outcome sender.Outcome
-	Status  int
-	Reason  string        // One word.
-	Detail  string        // For people; may be empty.
-	After   time.Duration // Time after which a rejected call has better chances.
-}
-
-// retries reports whether the caller may usefully send the same call again.
-func (r *Report) retries() bool {
-	return r.Outcome == sender.Rejected && r.Status >= http.StatusInternalServerError
-}
+type Report = translator.Report
 
-// Report tells the caller that the call has no answer, and why. Retry-After is
-// spread evenly over After to twice After plus a second, so that callers that
-// were rejected together do not return together.
+// Report tells the caller that the call has no answer, and why.
 func (a *Answerer) Report(w http.ResponseWriter, r Report) {
 	h := w.Header()
-	h.Set("Sardine-Outcome", r.Outcome.String())
-	h.Set("Sardine-Reason", r.Reason)
 	h.Set("Content-Type", "text/plain; charset=utf-8")
 	h.Set("X-Content-Type-Options", "nosniff")
-	if a.Instance != "" {
-		h.Set("Sardine-Instance", a.Instance)
-	}
-	if r.retries() {
-		spread := r.After + rand.N(r.After+time.Second)
-		h.Set("Retry-After", strconv.Itoa(1+int(spread.Seconds())))
-	}
-	w.WriteHeader(r.Status)
 	text := fmt.Sprintf("%s: %s", sentences[r.Outcome], r.Reason)
 	if r.Detail != "" {
 		text += ": " + r.Detail
 	}
-	_, _ = fmt.Fprintln(w, text)
+	text += "\n"
+	h.Set("Content-Length", strconv.Itoa(len(text)))
+	w.WriteHeader(a.dialect().Report(h, r, a.Instance))
+	_, _ = io.WriteString(w, text)
 }
 
 var sentences = map[sender.Outcome]string{
--- a/internal/call/classifier/classifier.go
+++ b/internal/call/classifier/classifier.go
@@ -4,53 +4,84 @@
 	"net"
 	"net/http"
 	"slices"
-	"strconv"
 	"strings"
 	"time"
 
 	"github.com/pkg/errors"
 
+	"sardinelever.example/sardinelever/internal/call/translator"
 	"sardinelever.example/sardinelever/internal/config/parser"
 	"sardinelever.example/sardinelever/internal/route/mapper"
 )
 
-// MaxDepth is the deepest call that is accepted: the deepest known is 27.
-const MaxDepth = 32
+// MaxDepth is the deepest call that is accepted.
+const MaxDepth = translator.MaxDepth
 
-// Limits of what a caller may send.
-const (
-	maxHeaders  = 64 << 10 // Bytes of all header names and values.
-	maxIdentity = 255      // Bytes.
-	maxAttempt  = 1000
-	maxDeadline = 24 * time.Hour
-)
+// maxHeaders bounds the bytes of all header names and values of a call.
+const maxHeaders = 64 << 10
+
+// defaultBudget is the number of retries of a call for which neither a rule nor
+// the caller states one.
+const defaultBudget = 1
 
 // Sentinels of calls that cannot be classified.
 var (
 	ErrService = errors.New("no service matches host or path")
-	ErrHeader  = errors.New("header is invalid")
+	ErrHeader  = translator.ErrHeader
 )
 
-// Classify finds service and route of r in m; now is the time of arrival.
-func Classify(m *mapper.Map, r *http.Request, now time.Time) (*Call, error) {
-	s, path := find(m, r)
-	if s == nil {
+// Classify finds rule, service and route of r in m; now is the time of arrival.
+func Classify(m *mapper.Map, d translator.Dialect, r *http.Request, now time.Time) (*Call, error) {
+	c, deadline := match(m, r)
+	if c == nil {
 		return nil, errors.Wrapf(ErrService, "host %q, path %q", r.Host, r.URL.Path)
 	}
-	c := &Call{Service: s, Path: path}
-	deadline := c.route(r)
-	if err := c.headers(r, now, deadline); err != nil {
+	if n := size(r.Header); n > maxHeaders {
+		return nil, errors.Wrapf(ErrHeader, "headers have %d bytes, more than %d", n, maxHeaders)
+	}
+	h, err := d.Read(r)
+	if err != nil {
 		return nil, err
 	}
+	c.hints(h, now, deadline)
+	c.Target = c.Deadline
+	if c.Rule != nil && now.Add(c.Rule.Target.Std()).Before(c.Deadline) {
+		c.Target = now.Add(c.Rule.Target.Std())
+	}
 	return c, nil
 }
 
-func find(m *mapper.Map, r *http.Request) (s *mapper.Service, path string) {
-	host := r.Host
-	if h, _, err := net.SplitHostPort(host); err == nil {
-		host = h
+// match returns the call with what the configuration says about it, and its
+// longest time; nil when nothing matches.
+func match(m *mapper.Map, r *http.Request) (*Call, time.Duration) {
+	if len(m.Rules) > 0 {
+		for _, u := range m.Rules[hostOf(r)] {
+			if strings.HasPrefix(r.URL.Path, u.Path) {
+				return &Call{
+					Service: u.Pick(), Rule: u, Rank: u.Rank, Idempotent: u.Idempotent,
+					Budget: u.Attempts - 1, Path: r.URL.Path,
+				}, u.Deadline.Std()
+			}
+		}
+		return nil, 0
 	}
-	if s := m.Hosts[host]; s != nil {
+	s, path := find(m, r)
+	if s == nil {
+		return nil, 0
+	}
+	c := &Call{Service: s, Path: path, Budget: defaultBudget}
+	return c, c.route(r)
+}
+
+func hostOf(r *http.Request) string {
+	if h, _, err := net.SplitHostPort(r.Host); err == nil {
+		return h
+	}
+	return r.Host
+}
+
+func find(m *mapper.Map, r *http.Request) (s *mapper.Service, path string) {
+	if s := m.Hosts[hostOf(r)]; s != nil {
 		return s, r.URL.Path
 	}
 	name, rest, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/"), "/")
@@ -79,47 +110,18 @@
 	return deadline
 }
 
-func (c *Call) headers(r *http.Request, now time.Time, deadline time.Duration) error {
-	if n := size(r.Header); n > maxHeaders {
-		return errors.Wrapf(ErrHeader, "headers have %d bytes, more than %d", n, maxHeaders)
-	}
-	if v := r.Header.Get("Sardine-Rank"); v != "" {
-		var rank parser.Rank
-		if err := rank.UnmarshalText([]byte(v)); err != nil {
-			return errors.Wrapf(ErrHeader, "Sardine-Rank: %v", err)
-		}
-		c.Rank = max(c.Rank, rank)
-	}
-	left, err := number(r, "Sardine-Deadline", int(deadline.Milliseconds()), int(maxDeadline.Milliseconds()))
-	if err != nil {
-		return err
-	}
-	c.Deadline = now.Add(min(deadline, time.Duration(left)*time.Millisecond))
-	if c.Depth, err = number(r, "Sardine-Depth", 0, MaxDepth); err != nil {
-		return err
-	}
-	if c.Attempt, err = number(r, "Sardine-Attempt", 1, maxAttempt); err != nil {
-		return err
-	}
-	if c.Budget, err = number(r, "Sardine-Budget", 1, MaxDepth); err != nil {
-		return err
-	}
-	return c.identity(r)
-}
-
-func (c *Call) identity(r *http.Request) error {
-	name := "Sardine-Id"
-	if r.Header.Get(name) == "" {
-		name = "Idempotency-Key"
-	}
-	c.Identity = r.Header.Get(name)
-	if len(c.Identity) > maxIdentity {
-		return errors.Wrapf(ErrHeader, "%s has %d bytes, more than %d", name, len(c.Identity), maxIdentity)
-	}
-	if len(r.Header.Values(name)) > 1 {
-		return errors.Wrapf(ErrHeader, "%s occurs more than once", name)
+// hints takes over what the caller says; it may shorten the deadline and lower
+// the rank of the route, not the other way round.
+func (c *Call) hints(h translator.Hints, now time.Time, deadline time.Duration) {
+	c.Rank = max(c.Rank, h.Rank)
+	if h.Left >= 0 {
+		deadline = min(deadline, h.Left)
+	}
+	c.Deadline = now.Add(deadline)
+	c.Depth, c.Attempt, c.Identity, c.ID = h.Depth, h.Attempt, h.Identity, h.ID
+	if h.Budget >= 0 {
+		c.Budget = h.Budget
 	}
-	return nil
 }
 
 func size(h http.Header) (n int) {
@@ -130,16 +132,3 @@
 	}
 	return n
 }
-
-// number reads a header with a value from 0 to limit, or returns preset when there is none.
-func number(r *http.Request, name string, preset, limit int) (int, error) {
-	v := r.Header.Get(name)
-	if v == "" {
-		return preset, nil
-	}
-	n, err := strconv.Atoi(v)
-	if err != nil || n < 0 || n > limit {
-		return 0, errors.Wrapf(ErrHeader, "%s: %q is not a number from 0 to %d", name, v, limit)
-	}
-	return n, nil
-}
--- a/internal/call/classifier/classifier_test.go
+++ b/internal/call/classifier/classifier_test.go
@@ -10,6 +10,7 @@
 	"github.com/pkg/errors"
 
 	"sardinelever.example/sardinelever/internal/call/classifier"
+	"sardinelever.example/sardinelever/internal/call/translator"
 	"sardinelever.example/sardinelever/internal/config/parser"
 	"sardinelever.example/sardinelever/internal/route/mapper"
 )
@@ -47,7 +48,7 @@
 			if err != nil {
 				t.Fatal(err)
 			}
-			_, err = classifier.Classify(services(), r, time.Now())
+			_, err = classifier.Classify(services(), translator.Native{}, r, time.Now())
 			if tt.want == "" && err != nil || tt.want != "" && (!errors.Is(err, classifier.ErrHeader) || !strings.Contains(err.Error(), tt.want)) {
 				t.Errorf("got error %v, want one about %q", err, tt.want)
 			}
@@ -64,7 +65,7 @@
 			t.Skip()
 		}
 		now := time.Now()
-		c, err := classifier.Classify(services(), r, now)
+		c, err := classifier.Classify(services(), translator.Native{}, r, now)
 		if err != nil {
 			return
 		}
--- a/internal/call/deduper/deduper_test.go
+++ b/internal/call/deduper/deduper_test.go
@@ -18,6 +18,7 @@
 	"sardinelever.example/sardinelever/internal/call/answerer"
 	"sardinelever.example/sardinelever/internal/call/classifier"
 	"sardinelever.example/sardinelever/internal/call/deduper"
+	"sardinelever.example/sardinelever/internal/call/translator"
 	"sardinelever.example/sardinelever/internal/config/parser"
 	"sardinelever.example/sardinelever/internal/fleet/linker"
 	"sardinelever.example/sardinelever/internal/route/mapper"
@@ -72,7 +73,7 @@
 
 func (i *instance) do(w http.ResponseWriter, r *http.Request, forwarded bool) {
 	m := &mapper.Map{Services: map[string]*mapper.Service{"deposits": {Service: &parser.Service{Name: "deposits"}}}}
-	c, err := classifier.Classify(m, r, time.Now())
+	c, err := classifier.Classify(m, translator.Native{}, r, time.Now())
 	if err != nil {
 		i.Answerer.Report(w, answerer.Report{Status: http.StatusBadRequest, Detail: err.Error()})
 		return
--- a/internal/call/retrier/bucket.go
+++ b/internal/call/retrier/bucket.go
@@ -16,12 +16,18 @@
 	maxTokens   = 10.0
 )
 
+// Limit bounds all repeats of a service by this instance.
+type Limit struct {
+	Share  float64 // Repeats for each call.
+	Tokens float64 // Repeats in addition, which come back with further calls.
+}
+
 type bucket struct{ spent float64 }
 
 func (b *bucket) earn(share float64) { b.spent = max(b.spent-share, 0) }
 
-func (b *bucket) take() bool {
-	if b.spent+1 > maxTokens {
+func (b *bucket) take(tokens float64) bool {
+	if b.spent+1 > tokens {
 		return false
 	}
 	b.spent++
@@ -42,21 +48,28 @@
 	mu     sync.Mutex
 	rerun  bucket // Attempts that may run twice: retries after unknown, and hedges.
 	reject bucket // Retries of attempts that did not run.
+	all    bucket // Both, when a Limit is set.
 }
 
 func newService() *service { return &service{latencies: estimator.New()} }
 
-func (s *service) begin() {
+func (s *service) begin(l *Limit) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.rerun.earn(rerunShare)
 	s.reject.earn(rejectShare)
+	if l != nil {
+		s.all.earn(l.Share)
+	}
 }
 
-func (s *service) take(b *bucket) bool {
+func (s *service) take(b *bucket, l *Limit) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return b.take()
+	if l != nil {
+		return s.all.take(l.Tokens)
+	}
+	return b.take(maxTokens)
 }
 
 // hedge returns the time after which an attempt without an answer is hedged.
--- a/internal/call/retrier/retrier.go
+++ b/internal/call/retrier/retrier.go
@@ -14,6 +14,10 @@
 
 // Retrier sends calls with answers of type T; the zero value is ready to use.
 type Retrier[T any] struct {
+	// Limit returns the bound of all repeats of a service; nil means separate
+	// bounds for attempts that may have run and those that did not. Set before the first call.
+	Limit func() Limit
+
 	mu       sync.Mutex
 	services map[string]*service
 }
@@ -65,8 +69,9 @@
 // answering attempt stays valid until ctx is done.
 func (r *Retrier[T]) Do(ctx context.Context, c *Call[T]) (T, error) {
 	s := r.service(c.Service)
-	s.begin()
-	x := &race[T]{call: c, service: s, results: make(chan result[T]), done: make(chan struct{})}
+	limit := r.limit()
+	s.begin(limit)
+	x := &race[T]{call: c, service: s, limit: limit, results: make(chan result[T]), done: make(chan struct{})}
 	defer close(x.done)
 	start := time.Now()
 	v, err := x.loop(ctx)
@@ -76,6 +81,14 @@
 	return v, err
 }
 
+func (r *Retrier[T]) limit() *Limit {
+	if r.Limit == nil {
+		return nil
+	}
+	l := r.Limit()
+	return &l
+}
+
 func (r *Retrier[T]) service(name string) *service {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -94,6 +107,7 @@
 type race[T any] struct {
 	call    *Call[T]
 	service *service
+	limit   *Limit
 	results chan result[T]
 	done    chan struct{} // Closed when results are no longer received.
 	tried   tried
@@ -139,7 +153,7 @@
 // timer fires when a hedge is due, never when the call has none.
 func (x *race[T]) timer() *time.Timer {
 	t := time.NewTimer(x.service.hedge(x.call.Urgent))
-	if !x.call.Hedge || !x.call.Idempotent {
+	if !x.call.Hedge || !x.call.Idempotent || x.limit != nil && !x.call.Urgent {
 		t.Stop()
 	}
 	return t
@@ -177,7 +191,7 @@
 }
 
 func (x *race[T]) allowed(b *bucket) bool {
-	if x.spent >= x.call.Budget || !x.service.take(b) {
+	if x.spent >= x.call.Budget || !x.service.take(b, x.limit) {
 		return false
 	}
 	x.spent++
--- a/internal/call/sender/outcome.go
+++ b/internal/call/sender/failure.go
@@ -3,34 +3,24 @@
 import (
 	"fmt"
 	"net/http"
+
+	"sardinelever.example/sardinelever/internal/call/translator"
 )
 
 // Outcome says whether a call that got no whole answer was run.
-type Outcome uint8
+type Outcome = translator.Outcome
 
 // The outcomes of a call without a whole answer.
 const (
-	Rejected Outcome = iota // Provably not run.
-	Unknown                 // May have run.
-	Failed                  // Ran, and its answer says so or was cut off.
+	Rejected = translator.Rejected
+	Unknown  = translator.Unknown
+	Failed   = translator.Failed
 )
 
-// String returns the value of the Sardine-Outcome header.
-func (o Outcome) String() string {
-	switch o {
-	case Rejected:
-		return "rejected"
-	case Failed:
-		return "failed"
-	default:
-		return "unknown"
-	}
-}
-
 // Failure is the error of a call that got no answer.
 type Failure struct {
 	Outcome Outcome
-	Reason  string // One word: connect, refused, write, read, protocol, deadline, gone.
+	Reason  string // One word: connect, refused, moved, write, read, protocol, foreign, deadline, gone.
 	Err     error
 }
 
--- a/internal/call/sender/header.go
+++ b/internal/call/sender/header.go
@@ -4,9 +4,10 @@
 	"context"
 	"net/http"
 	"net/textproto"
-	"strconv"
 	"strings"
 	"time"
+
+	"sardinelever.example/sardinelever/internal/call/translator"
 )
 
 // hopHeaders belong to one connection and are never forwarded.
@@ -28,7 +29,7 @@
 	}
 }
 
-func outgoing(ctx context.Context, o *Order) *http.Request {
+func outgoing(ctx context.Context, d translator.Dialect, o *Order) *http.Request {
 	c := o.Call
 	out := o.Request.Clone(ctx)
 	out.RequestURI, out.Close, out.TransferEncoding, out.GetBody = "", false, nil, nil
@@ -44,15 +45,10 @@
 	if _, ok := out.Header["User-Agent"]; !ok {
 		out.Header.Set("User-Agent", "") // Keeps net/http from adding its own.
 	}
-	left := max(time.Until(c.Deadline).Milliseconds(), 0)
-	out.Header.Set("Sardine-Deadline", strconv.FormatInt(left, 10))
-	out.Header.Set("Sardine-Rank", c.Rank.String())
-	out.Header.Set("Sardine-Depth", strconv.Itoa(c.Depth+1))
-	out.Header.Set("Sardine-Budget", strconv.Itoa(o.Budget))
-	out.Header.Set("Sardine-Attempt", strconv.Itoa(o.Attempt))
-	if c.Identity != "" {
-		out.Header.Set("Sardine-Id", c.Identity)
-	}
+	d.Write(out.Header, translator.Onward{
+		Rank: c.Rank, Left: max(time.Until(c.Deadline), 0), Depth: c.Depth + 1,
+		Attempt: o.Attempt, Budget: o.Budget, Identity: c.Identity, Server: o.Name,
+	})
 	return out
 }
 
--- a/internal/call/sender/sender.go
+++ b/internal/call/sender/sender.go
@@ -12,12 +12,14 @@
 	"github.com/pkg/errors"
 
 	"sardinelever.example/sardinelever/internal/call/classifier"
+	"sardinelever.example/sardinelever/internal/call/translator"
 	"sardinelever.example/sardinelever/internal/config/parser"
 )
 
 // Sender sends calls to backend servers; the zero value is ready to use.
 type Sender struct {
-	Instances func() int // Entry instances in the fleet; nil means 1.
+	Instances func() int         // Entry instances in the fleet; nil means 1.
+	Dialect   translator.Dialect // nil means translator.Native.
 
 	mu       sync.Mutex
 	pools    map[netip.AddrPort]*pool
@@ -32,9 +34,10 @@
 	Request *http.Request // As it came from the caller; it is not changed.
 	Body    io.ReadCloser // Read instead of the body of Request.
 	Server  netip.AddrPort
-	Attempt int  // Starts at 1.
-	Budget  int  // Retries that the backend server and all calls below it may use.
-	Fresh   bool // Demands a connection that is new or was used within the last second.
+	Name    string // Name of the only backend server that may run the call; empty means any at Server.
+	Attempt int    // Starts at 1.
+	Budget  int    // Retries that the backend server and all calls below it may use.
+	Fresh   bool   // Demands a connection that is new or was used within the last second.
 	// Repeat allows a second send to the same backend server when the first one
 	// met a silent connection; the call is idempotent and has no body.
 	Repeat bool
@@ -114,7 +117,7 @@
 	if reused && x.patience > 0 {
 		silent = x.watcher.start(l, x.patience).stop
 	}
-	resp, err := l.RoundTrip(outgoing(httptrace.WithClientTrace(ctx, i.trace()), o))
+	resp, err := l.RoundTrip(outgoing(httptrace.WithClientTrace(ctx, i.trace()), s.dialect(), o))
 	if silent() && ctx.Err() == nil {
 		if err == nil {
 			_ = resp.Body.Close()
@@ -138,10 +141,31 @@
 		return nil, failure(ctx, Unknown, "read", err)
 	}
 	s.follow(o, l, resp)
-	if resp.StatusCode == http.StatusServiceUnavailable && resp.Header.Get("Sardine-Refused") == "1" {
-		return resp, &Failure{Outcome: Rejected, Reason: "refused", Err: errors.Errorf("backend server %s refused", o.Server)}
+	return resp, s.judge(o, resp)
+}
+
+// judge returns the failure that the header of an answer tells, nil when the
+// answer is that of the call.
+func (s *Sender) judge(o *Order, resp *http.Response) error {
+	signals := s.dialect().Signals(resp.StatusCode, resp.Header)
+	switch {
+	case signals.ID != "" && signals.ID != o.Call.ID:
+		return &Failure{Outcome: Unknown, Reason: "foreign", Err: errors.Errorf("backend server %s answered another call", o.Server)}
+	case signals.Moved:
+		return &Failure{Outcome: Rejected, Reason: "moved", Err: errors.Errorf("another backend server than %s has the address %s", o.Name, o.Server)}
+	case signals.Unproven:
+		return &Failure{Outcome: Unknown, Reason: "unproven", Err: errors.Errorf("backend server %s answered %d without proof", o.Server, resp.StatusCode)}
+	case signals.Refused:
+		return &Failure{Outcome: Rejected, Reason: "refused", Err: errors.Errorf("backend server %s refused", o.Server)}
+	}
+	return nil
+}
+
+func (s *Sender) dialect() translator.Dialect {
+	if s.Dialect == nil {
+		return translator.Native{}
 	}
-	return resp, nil
+	return s.Dialect
 }
 
 // follow watches the body of resp for its end.
--- a/internal/config/parser/check.go
+++ b/internal/config/parser/check.go
@@ -2,11 +2,13 @@
 
 import (
 	"fmt"
+	"math"
 	"net/netip"
 	"net/url"
 	"os"
 	"regexp"
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 )
@@ -16,6 +18,7 @@
 	maxSlots    = 1 << 16
 	maxDeadline = 24 * time.Hour // The header Sardine-Deadline has the same limit.
 	maxFloors   = 0.5
+	minMemory   = 32 // MB; the process itself takes about 20.
 
 	// Below 10 s for reading the list and 5 s for the clocks of callers, the
 	// rule of identified calls does not hold (package deduper). After a change
@@ -107,6 +110,17 @@
 	number(c, "margin", s.Margin, Duration(minMargin), Duration(maxMargin))
 	c.word("policy", s.Policy, "grant", "random", "round", "least")
 	c.word("level", s.Level, "debug", "info", "warn", "error")
+	c.word("dialect", s.Dialect, "native", "cymdeithas")
+	number(c, "grace", s.Grace, Duration(time.Millisecond), Duration(time.Hour))
+	number(c, "memory", s.Memory, minMemory, math.MaxInt)
+	number(c, "retry.ratio", s.Retry.Ratio, 0, 1)
+	number(c, "retry.slack", s.Retry.Slack, 0, math.MaxInt)
+	number(c, "retry.window", s.Retry.Window, Duration(time.Second), Duration(time.Hour))
+	for i, seed := range s.Seeds {
+		if !seed.IsValid() || seed.Port() == 0 {
+			c.add(join("seeds", strconv.Itoa(i)), "%q is not an IP address with a port above 0", seed)
+		}
+	}
 	c.tls(s)
 }
 
--- a/internal/config/parser/check_service.go
+++ b/internal/config/parser/check_service.go
@@ -27,6 +27,48 @@
 		c.service(prefix, &b.Services[i])
 		c.unique(prefix, &b.Services[i], u)
 	}
+	c.rules(b)
+}
+
+// rules checks the rules of a bundle: each host and path occurs once, and each
+// part names a service of the bundle.
+func (c *checker) rules(b *Bundle) {
+	services := make(map[string]bool, len(b.Services))
+	for i := range b.Services {
+		services[b.Services[i].Name] = true
+	}
+	seen := make(unique)
+	for i := range b.Rules {
+		r, at := &b.Rules[i], join("rules", strconv.Itoa(i))
+		c.hosts(join(at, "host"), []string{r.Host})
+		c.path(join(at, "path"), r.Path)
+		if !strings.HasSuffix(r.Path, "/") {
+			c.add(join(at, "path"), "%q does not end with /", r.Path)
+		}
+		c.required(join(at, "rank"))
+		c.first(join(at, "path"), "rule for "+r.Host+r.Path, seen)
+		number(c, join(at, "deadline"), r.Deadline, Duration(time.Millisecond), Duration(maxDeadline))
+		number(c, join(at, "target"), r.Target, Duration(time.Millisecond), Duration(maxDeadline))
+		number(c, join(at, "attempts"), r.Attempts, 1, MaxAttempts)
+		c.parts(at, r.Parts, services)
+	}
+}
+
+func (c *checker) parts(at string, parts []Part, services map[string]bool) {
+	total := 0
+	for j, p := range parts {
+		path := join(join(at, "parts"), strconv.Itoa(j))
+		if !services[p.Service] {
+			c.add(join(path, "service"), "%q is not a service of the bundle", p.Service)
+		}
+		if p.Weight < 0 || p.Weight > maxWeight {
+			c.add(join(path, "weight"), "%d is not between 0 and %d", p.Weight, maxWeight)
+		}
+		total += max(p.Weight, 0)
+	}
+	if total == 0 {
+		c.add(join(at, "parts"), "no part has a weight above 0")
+	}
 }
 
 func (c *checker) service(at string, s *Service) {
--- a/internal/config/parser/decode.go
+++ b/internal/config/parser/decode.go
@@ -32,6 +32,9 @@
 	for i := range b.Services {
 		b.Services[i] = b.Services[i].WithDefaults()
 	}
+	for i := range b.Rules {
+		b.Rules[i] = b.Rules[i].WithDefaults()
+	}
 	return b, nil
 }
 
--- a/internal/config/parser/defaults.go
+++ b/internal/config/parser/defaults.go
@@ -14,6 +14,15 @@
 	DefaultBudget      = 10 * time.Millisecond
 	DefaultCost        = time.Millisecond
 	DefaultTotal       = 100 * time.Millisecond
+	DefaultAttempts    = 2
+)
+
+const (
+	// MaxAttempts is the largest number of attempts of a rule, the deepest
+	// chain of calls.
+	MaxAttempts = 32
+	// maxWeight keeps sums of weights far from overflow.
+	maxWeight = 1 << 20
 )
 
 // Defaults of keys that the settings of an instance leave out.
@@ -46,6 +55,14 @@
 	return s
 }
 
+// WithDefaults returns a copy of r in which every key has a value.
+func (r Rule) WithDefaults() Rule {
+	preset(&r.Deadline, Duration(DefaultDeadline))
+	preset(&r.Target, r.Deadline)
+	preset(&r.Attempts, DefaultAttempts)
+	return r
+}
+
 // WithDefaults returns a copy of p in which every key has a value.
 func (p Probe) WithDefaults() Probe {
 	preset(&p.Path, DefaultPath)
--- a/internal/config/parser/service.go
+++ b/internal/config/parser/service.go
@@ -55,6 +55,10 @@
 	Cost   Duration `toml:"cost,omitempty"`   // Time that one probe costs a backend server; 0 means 1ms.
 	Total  Duration `toml:"total,omitempty"`  // Probe time per second over all backend servers of the service; 0 means 100ms.
 	Period Duration `toml:"period,omitempty"` // Time between two probes of a backend server; 0 means MinPeriod.
+	// Fresh is the age up to which a load report decides about a grant; homes
+	// probe a backend server whose report is older before they grant its slot.
+	// 0 means that homes grant without probing.
+	Fresh Duration `toml:"fresh,omitempty"`
 }
 
 // Route gives the calls that match it their rank, deadline and whether they may be repeated.
@@ -66,9 +70,41 @@
 	Deadline   Duration `toml:"deadline,omitempty"` // 0 means the service's.
 }
 
+// Rule routes calls by host and path prefix to one or more services. Of the
+// rules of a host, the one with the longest matching path counts. A bundle
+// with rules admits no other calls.
+type Rule struct {
+	Name       string   `toml:"name"`
+	Host       string   `toml:"host"`
+	Path       string   `toml:"path"` // Path prefix; it begins and ends with a slash.
+	Rank       Rank     `toml:"rank"`
+	Idempotent bool     `toml:"idempotent"`
+	Deadline   Duration `toml:"deadline,omitempty"` // Longest time for which a caller waits; 0 means 10s.
+	Target     Duration `toml:"target,omitempty"`   // Time within which an answer is worth most; 0 means the deadline.
+	Attempts   int      `toml:"attempts,omitempty"` // Backend servers to which one call may be sent; 0 means 2.
+	Parts      []Part   `toml:"parts"`
+}
+
+// Part is the share of a rule's calls that one service gets: its weight over
+// the sum of the weights.
+type Part struct {
+	Service string `toml:"service"`
+	Weight  int    `toml:"weight"`
+}
+
+// Limits bound what callers may send; 0 means the limit of the instance.
+type Limits struct {
+	Header int      `toml:"header,omitempty"` // Bytes of a request header.
+	Body   int      `toml:"body,omitempty"`   // Bytes of a request body.
+	Read   Duration `toml:"read,omitempty"`   // Time for a request header.
+	Idle   Duration `toml:"idle,omitempty"`   // Time for which a connection may stay idle.
+}
+
 // Bundle is one published configuration: every service of a deployment.
 type Bundle struct {
 	Version  uint64    `toml:"version"` // Version is above 0 and rises with each publication.
 	Parent   uint64    `toml:"parent"`  // Parent is the version from which the bundle was made.
+	Limits   Limits    `toml:"limits,omitempty"`
+	Rules    []Rule    `toml:"rules,omitempty"`
 	Services []Service `toml:"services"`
 }
--- a/internal/config/parser/settings.go
+++ b/internal/config/parser/settings.go
@@ -17,6 +17,22 @@
 	Policy   string         `toml:"policy,omitempty"` // Dispatch: grant, random, round or least; empty means grant.
 	Level    string         `toml:"level,omitempty"`  // Least level of log lines: debug, info, warn or error; empty means info.
 	TLS      TLS            `toml:"tls,omitempty"`
+
+	Seeds   []netip.AddrPort `toml:"seeds,omitempty"`   // Instances to ask for the members when the platform lists none.
+	Dialect string           `toml:"dialect,omitempty"` // Formats of the platform and of calls: native or cymdeithas; empty means native.
+	Grace   Duration         `toml:"grace,omitempty"`   // Time between SIGTERM and the forced end of the process; 0 means none.
+	Memory  int              `toml:"memory,omitempty"`  // Memory of the process in MB; 0 means no limit.
+	Retry   Retry            `toml:"retry,omitempty"`
+	// Regions maps zones to their regions, for platforms that name only the zones of backend servers.
+	Regions map[string]string `toml:"regions,omitempty"`
+}
+
+// Retry bounds the repeats that all instances together send to one service in
+// any window: ratio x calls + slack.
+type Retry struct {
+	Ratio  float64  `toml:"ratio,omitempty"`  // 0 means 0.20.
+	Slack  int      `toml:"slack,omitempty"`  // 0 means 10 for each instance.
+	Window Duration `toml:"window,omitempty"` // 0 means 10s.
 }
 
 // TLS names the key files for links between instances.
--- a/internal/fleet/linker/kind.go
+++ b/internal/fleet/linker/kind.go
@@ -15,9 +15,10 @@
 	Control Kind = 'c' // Messages of messenger.Control.
 	Grant   Kind = 'g' // Messages of messenger.Grant.
 	Call    Kind = 'h' // Calls as HTTP/1.1.
+	Feed    Kind = 'f' // Records of the platform: one messenger.Subscribe, then messenger.Feed.
 )
 
-var kinds = [...]Kind{Control, Grant, Call}
+var kinds = [...]Kind{Control, Grant, Call, Feed}
 
 // String returns the name of the kind in metrics and logs.
 func (k Kind) String() string {
@@ -28,6 +29,8 @@
 		return "grant"
 	case Call:
 		return "call"
+	case Feed:
+		return "feed"
 	}
 	return "unknown"
 }
--- a/internal/fleet/linker/linker_test.go
+++ b/internal/fleet/linker/linker_test.go
@@ -130,7 +130,7 @@
 	}
 	// Counts exclude the byte that gives the kind; a write counts after its
 	// bytes may have been answered.
-	want := map[linker.Kind]linker.Count{linker.Call: {In: 100, Out: 100}, linker.Control: {In: 4, Out: 4}, linker.Grant: {}}
+	want := map[linker.Kind]linker.Count{linker.Call: {In: 100, Out: 100}, linker.Control: {In: 4, Out: 4}, linker.Grant: {}, linker.Feed: {}}
 	eventually(t, "counts of each kind", func() bool { return maps.Equal(a.Counts().Kinds, want) })
 }
 
--- a/internal/fleet/registrar/beat.go
+++ b/internal/fleet/registrar/beat.go
@@ -27,6 +27,10 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer r.tasks.Wait()
 	defer cancel()
+	if len(r.Seeds) > 0 {
+		r.tasks.Add(1)
+		go (&joiner{r}).loop(ctx)
+	}
 	tick := time.NewTicker(r.Period / steps)
 	defer tick.Stop()
 	beats := Beats{Period: r.Period}
@@ -196,6 +200,12 @@
 		if h := m.GetHeartbeat(); h != nil {
 			r.update(func(t *Table, now time.Time) { t.Hear(now, from, h) })
 		}
+		if l := m.GetRoster(); l != nil && !l.GetReply() {
+			r.meet(l)
+			if err := reply(r.rosterMessage(true)); err != nil {
+				return
+			}
+		}
 		for _, v := range r.Receivers {
 			v.Receive(from, m, reply)
 		}
--- /dev/null
+++ b/internal/fleet/registrar/join.go
@@ -0,0 +1,136 @@
+package registrar
+
+import (
+	"bufio"
+	"context"
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/phuslu/log"
+
+	"sardinelever.example/sardinelever/internal/fleet/linker"
+	"sardinelever.example/sardinelever/internal/fleet/messenger"
+	"sardinelever.example/sardinelever/internal/flow/sleeper"
+)
+
+const (
+	// firstJoin is the time between the first two exchanges of rosters; it
+	// doubles up to joinPeriod, so that instances that start together know each
+	// other within a second.
+	firstJoin  = 100 * time.Millisecond
+	joinPeriod = 5 * time.Second
+	// joinTimeout bounds one exchange.
+	joinTimeout = 500 * time.Millisecond
+	// seedShare is the share of the later exchanges that go to a seed, which
+	// joins parts of a fleet that know nothing of each other.
+	seedShare = 0.3
+)
+
+// joiner exchanges rosters with seeds and members, for platforms that do not
+// list the instances.
+type joiner struct{ registrar *Registrar }
+
+func (j *joiner) loop(ctx context.Context) {
+	defer j.registrar.tasks.Done()
+	delay := firstJoin
+	for ctx.Err() == nil {
+		for _, to := range j.targets(delay < joinPeriod) {
+			if err := j.exchange(ctx, to); err != nil && ctx.Err() == nil {
+				log.Debug().Str("peer", to.String()).Err(err).Msg("fleet: roster not exchanged")
+			}
+		}
+		sleeper.Sleep(ctx, delay*3/4+rand.N(delay/2))
+		delay = min(2*delay, joinPeriod)
+	}
+}
+
+// targets returns whom to ask now: all seeds at first, later one member or seed.
+func (j *joiner) targets(first bool) []netip.AddrPort {
+	r := j.registrar
+	seeds := slices.DeleteFunc(slices.Clone(r.Seeds), func(a netip.AddrPort) bool { return a == r.Peer })
+	var alive []netip.AddrPort
+	for _, m := range r.Members() {
+		if !m.Self && m.State == Alive {
+			alive = append(alive, m.Peer)
+		}
+	}
+	switch {
+	case first || len(alive) == 0:
+		return seeds
+	case len(seeds) > 0 && rand.Float64() < seedShare:
+		return seeds[rand.N(len(seeds)):][:1]
+	}
+	return alive[rand.N(len(alive)):][:1]
+}
+
+func (j *joiner) exchange(ctx context.Context, to netip.AddrPort) error {
+	ctx, cancel := context.WithTimeout(ctx, joinTimeout)
+	defer cancel()
+	r := j.registrar
+	conn, err := r.Links.Open(ctx, to, linker.Control)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = conn.Close() }()
+	_ = conn.SetDeadline(time.Now().Add(joinTimeout))
+	if err := messenger.Write(conn, r.rosterMessage(false)); err != nil {
+		return err
+	}
+	m := new(messenger.Control)
+	if err := messenger.ReadLimit(bufio.NewReader(conn), m, maxIn); err != nil {
+		return err
+	}
+	r.meet(m.GetRoster())
+	return nil
+}
+
+// rosterMessage lists the members that live, this instance included.
+func (r *Registrar) rosterMessage(reply bool) *messenger.Control {
+	out := &messenger.Roster{Reply: reply}
+	for _, m := range r.Members() {
+		if m.State != Alive && !m.Self {
+			continue
+		}
+		peer, _ := m.Peer.MarshalBinary() // Never fails.
+		out.Members = append(out.Members, &messenger.Member{
+			Name: m.Name, Zone: m.Zone, Region: m.Region, Peer: peer, Incarnation: m.Incarnation,
+		})
+	}
+	return &messenger.Control{Kind: &messenger.Control_Roster{Roster: out}}
+}
+
+// meet takes the members of a roster in.
+func (r *Registrar) meet(l *messenger.Roster) {
+	r.update(func(t *Table, now time.Time) {
+		for _, m := range l.GetMembers() {
+			var peer netip.AddrPort
+			if err := peer.UnmarshalBinary(m.GetPeer()); err != nil || !peer.IsValid() {
+				log.Warn().Str("instance", m.GetName()).Msg("fleet: member of a roster has no address")
+				continue
+			}
+			t.Meet(now, Member{Name: m.GetName(), Zone: m.GetZone(), Region: m.GetRegion(), Peer: peer, Incarnation: m.GetIncarnation()})
+		}
+	})
+}
+
+// Meet takes a member that another instance knows to live.
+func (t *Table) Meet(now time.Time, m Member) {
+	t.init()
+	e := t.entries[m.Name]
+	switch {
+	case e == nil:
+		m.State, m.Listed, m.Self = Alive, false, false
+		e = &entry{Member: m, heard: now}
+		t.entries[m.Name] = e
+		t.note(now, e, "roster", "unknown", "joined")
+		t.supersede(now, e)
+	case e.Self || m.Incarnation < e.Incarnation:
+	case m.Incarnation > e.Incarnation:
+		e.Peer, e.Zone, e.Region = m.Peer, m.Zone, m.Region
+		t.renew(now, e, m.Incarnation, "roster")
+	case !e.silent:
+		e.heard = now
+	}
+}
--- a/internal/fleet/registrar/registrar.go
+++ b/internal/fleet/registrar/registrar.go
@@ -35,7 +35,8 @@
 	Incarnation uint64 // Start of this process, nanoseconds since 1970.
 	Zone        string
 	Region      string
-	Peer        netip.AddrPort // Own listener for other instances.
+	Peer        netip.AddrPort   // Own listener for other instances.
+	Seeds       []netip.AddrPort // Instances to ask for the members; none means that the platform lists them.
 	Links       Links
 	Audit       *auditor.Auditor
 	Receivers   []Receiver
--- a/internal/instance/runner/attempt.go
+++ b/internal/instance/runner/attempt.go
@@ -3,8 +3,7 @@
 import (
 	"context"
 	"net/http"
-	"strconv"
-	"strings"
+	"net/netip"
 	"time"
 
 	"github.com/pkg/errors"
@@ -34,7 +33,7 @@
 // try acquires a slot and sends the call once.
 func (t *attempts) try(ctx context.Context, a *retrier.Attempt) (*answer, error) {
 	c := t.call
-	need := asker.Need{Service: c.Service.Name, Rank: c.Rank, Deadline: c.Deadline, Avoid: a.Avoid()}
+	need := asker.Need{Service: c.Service.Name, Rank: c.Rank, Deadline: c.Deadline, Target: c.Target, Avoid: a.Avoid()}
 	asked := time.Now()
 	slot, err := t.asker.Acquire(ctx, need)
 	if err != nil {
@@ -42,16 +41,21 @@
 	}
 	t.attempted(a.Number, time.Since(asked))
 	a.Use(slot.Server)
+	name, known := t.server(slot.Server)
+	if !known {
+		slot.Release(asker.Result{Busy: -1, Failed: true, Lost: true})
+		return nil, &sender.Failure{Outcome: sender.Rejected, Reason: "moved", Err: errors.Errorf("no backend server is known at %s", slot.Server)}
+	}
 	body, ok := t.body.Next()
 	if !ok {
 		slot.Release(asker.Result{Busy: -1})
 		return nil, errors.New("the body cannot be sent again")
 	}
 	o := &sender.Order{
-		Call: c, Request: t.r, Body: body, Server: slot.Server, Attempt: c.Attempt + a.Number - 1,
+		Call: c, Request: t.r, Body: body, Server: slot.Server, Name: name, Attempt: c.Attempt + a.Number - 1,
 		Budget: a.Budget, Inform: t.inform,
 		// Only a first attempt that can be hedged may meet a silent connection.
-		Fresh: a.Number > 1 || !t.hedge, Repeat: t.hedge,
+		Fresh: a.Number > 1 || !t.hedge && t.retrier.Limit == nil, Repeat: t.hedge,
 	}
 	if t.hedge {
 		o.Inform = nil // Two attempts must not write to the caller at a time.
@@ -60,7 +64,7 @@
 		t.guard.Send()
 	}
 	resp, err := t.sender.Send(ctx, o)
-	result := measure(resp, err, time.Since(o.Sent))
+	result := t.measure(resp, err, time.Since(o.Sent))
 	if err == nil {
 		return &answer{resp: resp, slot: slot, result: result}, nil
 	}
@@ -103,7 +107,7 @@
 
 // measure returns what an attempt says about the backend server. The latency
 // ends with the header of the answer, as the body depends on the caller too.
-func measure(resp *http.Response, err error, latency time.Duration) asker.Result {
+func (p *pipe) measure(resp *http.Response, err error, latency time.Duration) asker.Result {
 	result := asker.Result{Latency: latency, Busy: -1}
 	var f *sender.Failure
 	if errors.As(err, &f) {
@@ -117,10 +121,26 @@
 		return result
 	}
 	result.Failed = result.Failed || err == nil && resp.StatusCode >= http.StatusInternalServerError
-	result.Drain = resp.Header.Get("Sardine-Drain") == "1"
-	busy, _, _ := strings.Cut(resp.Header.Get("Sardine-Load"), "/")
-	if n, err := strconv.Atoi(busy); err == nil && n >= 0 {
-		result.Busy = n
-	}
+	signals := p.answer.Signals(resp)
+	result.Drain, result.Busy, result.Pace = signals.Drain, signals.Busy, signals.Pace
 	return result
 }
+
+// server returns the name of the backend server at addr that may run the call;
+// known is false when the call must not be sent there. Without rules any server
+// at the address of a slot may run it.
+func (t *attempts) server(addr netip.AddrPort) (name string, known bool) {
+	if t.call.Rule == nil {
+		return "", true
+	}
+	s := t.maps.Load().Services[t.call.Service.Name]
+	if s == nil {
+		return "", false
+	}
+	for i := range s.Servers {
+		if s.Servers[i].Address == addr {
+			return s.Servers[i].Name, true
+		}
+	}
+	return "", false
+}
--- a/internal/instance/runner/join.go
+++ b/internal/instance/runner/join.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"sardinelever.example/sardinelever/internal/call/retrier"
 	"sardinelever.example/sardinelever/internal/fleet/linker"
 	"sardinelever.example/sardinelever/internal/fleet/messenger"
 	"sardinelever.example/sardinelever/internal/fleet/placer"
@@ -49,7 +50,61 @@
 }
 
 // instances returns the size of the fleet.
-func (p *parts) instances() int { return max(len(p.members.Believed().Names), 1) }
+func (p *parts) instances() int {
+	if p.platform == nil {
+		return max(len(p.members.Believed().Names), 1)
+	}
+	n := 0
+	for _, m := range p.members.Members() {
+		if m.State == registrar.Alive {
+			n++
+		}
+	}
+	return max(n, leastInstances)
+}
+
+// leastInstances is the assumed size of a fleet that is not listed, so that an
+// instance that knows no other takes no more than its share of common limits.
+const leastInstances = 8
+
+// retryShare is the part of the common retry budget that instances use; the
+// rest covers members that are not known yet.
+const retryShare = 0.9
+
+// retryLimit returns this instance's part of the retry budget.
+func (p *parts) retryLimit() retrier.Limit {
+	r := p.settings.Retry
+	return retrier.Limit{Share: retryShare * r.Ratio, Tokens: max(retryShare*float64(r.Slack)/float64(p.instances()), 1)}
+}
+
+// sampleTimeout bounds a probe for which an ask may wait: many times its usual
+// time, and below the time at which lost packets are sent again.
+const sampleTimeout = 150 * time.Millisecond
+
+// sampling is a probe of a backend server on behalf of its home.
+type sampling struct {
+	*parts
+	service string
+	server  netip.AddrPort
+}
+
+func (p *parts) sample(service string, server netip.AddrPort) { go sampling{p, service, server}.run() }
+
+func (s sampling) run() {
+	m := s.maps.Load().Services[s.service]
+	if m == nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), sampleTimeout)
+	defer cancel()
+	start := time.Now()
+	signals, err := s.pipe.sender.Probe(ctx, s.server, m.Probe.Path, m.Connections)
+	r := tracker.Result{Failed: err != nil, Busy: -1, Latency: time.Since(start)}
+	if err == nil {
+		r.Busy, r.Pace = signals.Busy, signals.Pace
+	}
+	s.granter.Observe(s.service, s.server, tracker.Figure{Result: r, Age: time.Since(start) / 2})
+}
 
 func (p *parts) serveGrants(from linker.Hello, conn net.Conn) { p.granter.Serve(from.Name, conn) }
 
@@ -67,7 +122,7 @@
 // probeView returns the targets of probes and the instances that share them.
 func (p *parts) probeView() prober.View {
 	b, _ := p.keeper.Current()
-	return prober.Join(p.lists.List(), b)
+	return prober.Join(p.list(), b)
 }
 
 // probeAge is the age of a result that makes a probe needless.
--- a/internal/instance/runner/parts.go
+++ b/internal/instance/runner/parts.go
@@ -20,6 +20,7 @@
 	"sardinelever.example/sardinelever/internal/operator/auditor"
 	"sardinelever.example/sardinelever/internal/operator/meter"
 	"sardinelever.example/sardinelever/internal/platform/reader"
+	"sardinelever.example/sardinelever/internal/platform/watcher"
 	"sardinelever.example/sardinelever/internal/route/asker"
 	"sardinelever.example/sardinelever/internal/route/granter"
 	"sardinelever.example/sardinelever/internal/route/mapper"
@@ -29,6 +30,7 @@
 // parts are the parts of an instance; build sets how they are joined.
 type parts struct {
 	settings    *parser.Settings
+	platform    *Platform // nil means the product's own formats.
 	log         *log.Logger
 	incarnation uint64
 	registry    *prometheus.Registry
@@ -41,6 +43,7 @@
 	detector detector.Detector
 	lists    reader.ListFollower
 	configs  reader.ConfigFollower
+	records  watcher.Watcher // Used with a Platform, in place of lists and configs.
 	linker   linker.Linker
 	members  registrar.Registrar
 	spreader spreader.Spreader
@@ -52,8 +55,8 @@
 }
 
 // build joins the parts of an instance with settings s, in which every key has a value.
-func build(s *parser.Settings, l *log.Logger) *parts {
-	p := &parts{settings: s, log: l, incarnation: uint64(time.Now().UnixNano()), registry: prometheus.NewRegistry()}
+func build(s *parser.Settings, platform *Platform, l *log.Logger) *parts {
+	p := &parts{settings: s, platform: platform, log: l, incarnation: uint64(time.Now().UnixNano()), registry: prometheus.NewRegistry()}
 	p.meter = meter.Register(p.registry)
 	p.audit.Log = l
 	p.keeper.Audit = &p.audit
@@ -66,6 +69,13 @@
 }
 
 func (p *parts) buildPlatform() {
+	if p.platform != nil {
+		p.records = watcher.Watcher{
+			Store: p.platform.Store, Decoder: p.platform.Decoder, Name: p.settings.Name, Zone: p.settings.Zone, Region: p.settings.Region,
+			Fleet: &p.members, Links: &p.linker, Keeper: &p.keeper, Update: p.relist, Audit: &p.audit, Log: p.log,
+		}
+		return
+	}
 	c := &reader.Client{Base: p.settings.Platform}
 	p.lists = reader.ListFollower{Client: c, Silent: p.silent, Audit: &p.audit, Log: p.log}
 	p.configs = reader.ConfigFollower{Client: c, Keeper: &p.keeper, Reader: p.watches, Heard: p.spreader.Heard, Log: p.log}
@@ -80,10 +90,11 @@
 			linker.Control: &p.members,
 			linker.Grant:   linker.HandlerFunc(p.serveGrants),
 			linker.Call:    linker.HandlerFunc(p.serveCalls),
+			linker.Feed:    &p.records,
 		},
 	}
 	p.members = registrar.Registrar{
-		Name: s.Name, Incarnation: p.incarnation, Zone: s.Zone, Region: s.Region, Peer: s.Peers,
+		Name: s.Name, Incarnation: p.incarnation, Zone: s.Zone, Region: s.Region, Peer: s.Peers, Seeds: s.Seeds,
 		Links: &p.linker, Audit: &p.audit, Receivers: []registrar.Receiver{&p.spreader, figures{p}},
 		Check: p.detector.Check,
 	}
@@ -104,6 +115,9 @@
 func (p *parts) buildRoute() {
 	s := p.settings
 	p.granter = granter.Granter{Map: &p.maps, Audit: &p.audit}
+	if p.platform != nil {
+		p.granter.Sample = p.sample
+	}
 	p.asker = asker.Asker{
 		Map: &p.maps, Name: s.Name, Zone: s.Zone, Region: s.Region,
 		Granter: &p.granter, Fleet: &p.members, Links: &p.linker, Policy: policies[s.Policy],
@@ -120,6 +134,11 @@
 	p.pipe.maps, p.pipe.asker, p.pipe.meter, p.pipe.check = &p.maps, &p.asker, p.meter, p.detector.Check
 	p.pipe.answer.Instance = p.settings.Name
 	p.pipe.sender.Instances = p.instances
+	if p.platform != nil {
+		p.pipe.answer.Dialect, p.pipe.sender.Dialect = p.platform.Dialect, p.platform.Dialect
+		p.pipe.retrier.Limit = p.retryLimit
+		return
+	}
 	p.deduper = deduper.Deduper{
 		Name: p.settings.Name, Peer: p.settings.Peers, Incarnation: p.incarnation, Fleet: fleet{p},
 		Rules: deduper.Rules{Margin: p.settings.Margin.Std()},
@@ -129,10 +148,13 @@
 
 // duties returns what runs for the whole life of the instance.
 func (p *parts) duties() []func(context.Context) error {
-	return []func(context.Context) error{
-		p.detector.Run, p.lists.Run, p.configs.Run, p.linker.Run, p.members.Run, p.spreader.Run,
-		p.granter.Run, p.asker.Run, p.prober.Run, p.deduper.Run, p.loop,
+	common := []func(context.Context) error{
+		p.detector.Run, p.linker.Run, p.members.Run, p.spreader.Run, p.granter.Run, p.asker.Run, p.loop,
 	}
+	if p.platform != nil {
+		return append(common, p.records.Run)
+	}
+	return append(common, p.lists.Run, p.configs.Run, p.prober.Run, p.deduper.Run)
 }
 
 // mapPeriod bounds the time after which a new list takes effect.
@@ -141,6 +163,16 @@
 // loop keeps the map of services and backend servers up to date.
 func (p *parts) loop(ctx context.Context) error {
 	changes := p.keeper.Changes()
+	if p.platform != nil {
+		for {
+			select {
+			case <-ctx.Done():
+				return nil
+			case <-changes:
+				p.remap()
+			}
+		}
+	}
 	t := time.NewTicker(mapPeriod)
 	defer t.Stop()
 	var list *reader.List
@@ -165,12 +197,23 @@
 	}
 }
 
+// list returns the believed list, nil before the first.
+func (p *parts) list() *reader.List {
+	if p.platform != nil {
+		return p.records.List()
+	}
+	return p.lists.List()
+}
+
+// relist takes in a list of the watched records.
+func (p *parts) relist(*reader.List) { p.remap() }
+
 // remap stores the map of the present bundle and list.
 func (p *parts) remap() {
 	p.mapping.Lock()
 	defer p.mapping.Unlock()
 	b, _ := p.keeper.Current()
-	m := mapper.Join(b, p.lists.List())
+	m := mapper.Join(b, p.list())
 	p.maps.Store(m)
 	servers := make(map[netip.AddrPort]bool)
 	for _, s := range m.Services {
@@ -184,6 +227,11 @@
 // await returns when there is a bundle and the peers were asked for theirs, or
 // ctx is done.
 func (p *parts) await(ctx context.Context) {
+	if p.platform != nil {
+		until(ctx, func() bool { b, _ := p.keeper.Current(); return b != nil && p.records.List() != nil })
+		p.remap()
+		return
+	}
 	if !until(ctx, func() bool { return p.lists.List() != nil }) {
 		return
 	}
--- a/internal/instance/runner/pipe.go
+++ b/internal/instance/runner/pipe.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -26,15 +27,16 @@
 // pipe moves a call through its filters: classify, dedupe, acquire, send,
 // answer, release.
 type pipe struct {
-	maps    *mapper.Holder
-	asker   acquirer
-	deduper *deduper.Deduper // nil runs identified calls like those without an identity.
-	sender  sender.Sender
-	retrier retrier.Retrier[*answer]
-	answer  answerer.Answerer
-	bytes   sender.Bytes
-	meter   *meter.Meter // nil counts nothing.
-	check   func()       // Called before the decisions of a call; notices a pause of the process.
+	maps     *mapper.Holder
+	asker    acquirer
+	deduper  *deduper.Deduper // nil runs identified calls like those without an identity.
+	sender   sender.Sender
+	retrier  retrier.Retrier[*answer]
+	answer   answerer.Answerer
+	bytes    sender.Bytes
+	meter    *meter.Meter // nil counts nothing.
+	stopping atomic.Bool  // Connections of callers are closed after their answers.
+	check    func()       // Called before the decisions of a call; notices a pause of the process.
 }
 
 // identityPath answers with an issued identity.
@@ -62,13 +64,12 @@
 	if p.check != nil {
 		p.check()
 	}
-	c, err := classifier.Classify(p.maps.Load(), r, time.Now())
-	if err != nil {
-		report := answerer.Report{Status: http.StatusBadRequest, Reason: "header", Detail: err.Error()}
-		if errors.Is(err, classifier.ErrService) {
-			report.Status, report.Reason = http.StatusNotFound, "service"
-		}
-		p.answer.Report(w, report)
+	if p.stopping.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	c, report := p.match(r)
+	if report != nil {
+		p.answer.Report(w, *report)
 		return
 	}
 	// A forwarded call stays identified even when the configurations differ.
@@ -79,6 +80,29 @@
 	p.deduper.Do(w, r, c, forwarded, func(w http.ResponseWriter, r *http.Request) (ran bool) { return p.run(w, r, c) })
 }
 
+// match classifies r; the report says why that is not possible.
+func (p *pipe) match(r *http.Request) (*classifier.Call, *answerer.Report) {
+	m := p.maps.Load()
+	c, err := p.answer.Classify(m, r, time.Now())
+	switch {
+	case err == nil:
+	case m.Version == 0:
+		return nil, &answerer.Report{Status: http.StatusServiceUnavailable, Reason: "starting", Detail: "no configuration is known yet", After: startRetry}
+	case errors.Is(err, classifier.ErrService):
+		return nil, &answerer.Report{Status: http.StatusNotFound, Reason: "service", Detail: err.Error()}
+	default:
+		return nil, &answerer.Report{Status: http.StatusBadRequest, Reason: "header", Detail: err.Error()}
+	}
+	if limit := m.Limits.Body; err == nil && limit > 0 && r.ContentLength > int64(limit) {
+		return nil, &answerer.Report{Status: http.StatusRequestEntityTooLarge, Reason: "size", Detail: "the body is larger than the configuration allows"}
+	}
+	return c, nil
+}
+
+// startRetry is the Retry-After of an instance that has no configuration yet;
+// it reads one within milliseconds once the platform or a peer answers.
+const startRetry = 200 * time.Millisecond
+
 // run sends the call, copies the answer or reports the outcome, and returns
 // whether the call may have run.
 func (p *pipe) run(w http.ResponseWriter, r *http.Request, c *classifier.Call) (ran bool) {
@@ -125,7 +149,7 @@
 
 func (p *pipe) order(t *attempts) *retrier.Call[*answer] {
 	c := t.call
-	t.hedge = c.Idempotent && t.r.ContentLength == 0
+	t.hedge = c.Idempotent && t.r.ContentLength == 0 && p.retrier.Limit == nil
 	return &retrier.Call[*answer]{
 		Service: c.Service.Name, Idempotent: c.Idempotent, Urgent: c.Rank == parser.Urgent, Budget: c.Budget,
 		Replay: t.replay, Hedge: t.hedge, Try: t.try, Drop: (*answer).drop,
--- a/internal/instance/runner/runner.go
+++ b/internal/instance/runner/runner.go
@@ -12,13 +12,16 @@
 	"github.com/pkg/errors"
 	"golang.org/x/sync/errgroup"
 
+	"sardinelever.example/sardinelever/internal/call/translator"
 	"sardinelever.example/sardinelever/internal/config/parser"
+	"sardinelever.example/sardinelever/internal/platform/watcher"
 )
 
 // Runner is an entry instance; Settings and Log are set before Run.
 type Runner struct {
 	Settings *parser.Settings
 	Log      *log.Logger // nil means log.DefaultLogger.
+	Platform *Platform   // nil means the product's own formats.
 
 	ready atomic.Bool
 	addr  atomic.Pointer[netip.AddrPort]
@@ -32,8 +35,17 @@
 	// peerWait is how long a new instance waits for the configuration of its
 	// peers before it trusts the platform alone.
 	peerWait = 3 * time.Second
+	// graceMargin is the part of the grace time that is left for the end of the process.
+	graceMargin = 300 * time.Millisecond
 )
 
+// Platform translates the formats of a platform.
+type Platform struct {
+	Store   watcher.Store
+	Decoder watcher.Decoder
+	Dialect translator.Dialect
+}
+
 // ErrInstance reports that the instance could not start or stopped by a failure.
 var ErrInstance = errors.New("instance failed")
 
@@ -60,7 +72,7 @@
 	work, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	g, work := errgroup.WithContext(work)
-	p := build(&settings, r.Log)
+	p := build(&settings, r.Platform, r.Log)
 	servers, err := r.listen(p, g)
 	if err != nil {
 		return wrap(err)
@@ -152,10 +164,20 @@
 func (r *Runner) shutdown(p *parts, s *servers) {
 	r.ready.Store(false)
 	p.members.Leave()
-	notice := r.Settings.WithDefaults().Notice.Std()
+	p.pipe.stopping.Store(true)
+	settings := r.Settings.WithDefaults()
+	notice := settings.Notice.Std()
 	r.Log.Info().Dur("notice", notice).Msg("instance: stopping; calls are accepted until the notice ends")
 	time.Sleep(notice)
-	// No timeout: calls in flight finish within their own deadlines.
-	_ = s.callers.Shutdown(context.Background())
+	// Calls in flight finish within their own deadlines, and before the
+	// process is ended by force.
+	ctx, cancel := context.WithCancel(context.Background())
+	if grace := settings.Grace.Std(); grace > 0 {
+		ctx, cancel = context.WithTimeout(ctx, grace-notice-graceMargin)
+	}
+	defer cancel()
+	if err := s.callers.Shutdown(ctx); err != nil {
+		r.Log.Warn().Err(err).Msg("instance: calls are still in flight at the end of the grace time")
+	}
 	r.Log.Info().Msg("instance: stopped")
 }
--- a/internal/platform/reader/list.go
+++ b/internal/platform/reader/list.go
@@ -14,6 +14,8 @@
 	Region  string         `json:"region"`
 	Service string         `json:"service"` // Empty for an entry instance.
 	Leaving bool           `json:"leaving"`
+	Born    uint64         `json:"born,omitempty"`  // Start of a backend server's process, in a unit of the platform's; it tells a new process under an old name.
+	Slots   int            `json:"slots,omitempty"` // Calls that a backend server runs at a time; 0 means those of its service.
 }
 
 // List is the platform's list at a time of the platform's clock.
--- a/internal/route/asker/asker.go
+++ b/internal/route/asker/asker.go
@@ -21,6 +21,7 @@
 	Service  string
 	Rank     parser.Rank
 	Deadline time.Time
+	Target   time.Time        // Time until which an answer is worth most; zero means the deadline.
 	Avoid    []netip.AddrPort // Backend servers that earlier attempts of the call used.
 }
 
@@ -116,6 +117,9 @@
 	if n.Deadline.IsZero() {
 		n.Deadline = time.Now().Add(defaultDeadline)
 	}
+	if n.Target.IsZero() {
+		n.Target = n.Deadline
+	}
 	if a.Policy != Dispatch {
 		return a.base.acquire(a, n)
 	}
--- a/internal/route/asker/message.go
+++ b/internal/route/asker/message.go
@@ -20,6 +20,7 @@
 	n := &p.ask.need
 	m := &messenger.Ask{
 		Number: p.number, Pool: encodePool(p.pool.key), Rank: uint32(n.Rank), Left: int64(time.Until(n.Deadline)),
+		Target: int64(time.Until(n.Target)),
 	}
 	for _, addr := range n.Avoid {
 		b, _ := addr.MarshalBinary() // Never fails.
@@ -40,7 +41,7 @@
 func encodeDone(number uint64, r Result, keep bool) *messenger.Grant {
 	return &messenger.Grant{Kind: &messenger.Grant_Done{Done: &messenger.Done{
 		Number: number, Latency: int64(r.Latency), Busy: int32(r.Busy),
-		Failed: r.Failed, Refused: r.Refused, Drain: r.Drain, Keep: keep, Lost: r.Lost,
+		Failed: r.Failed, Refused: r.Refused, Drain: r.Drain, Keep: keep, Lost: r.Lost, Pace: r.Pace,
 	}}}
 }
 
--- a/internal/route/granter/ask.go
+++ b/internal/route/granter/ask.go
@@ -31,6 +31,7 @@
 	ID
 	Rank     parser.Rank
 	Deadline time.Time
+	Target   time.Time        // Time until which an answer is worth most; zero means the deadline.
 	Avoid    []netip.AddrPort // Backend servers that the call must not use.
 }
 
--- a/internal/route/granter/granter.go
+++ b/internal/route/granter/granter.go
@@ -18,6 +18,9 @@
 	Map   *mapper.Holder
 	Audit *auditor.Auditor // nil drops the changes.
 	Idle  time.Duration    // Time without use after which a pool is dropped; 0 means 1m.
+	// Sample starts a probe of a backend server of a service and must not block;
+	// its result goes to Observe. nil means that none is possible.
+	Sample func(service string, server netip.AddrPort)
 
 	mu    sync.RWMutex
 	pools map[Key]*worker
@@ -144,9 +147,12 @@
 		g.pools = make(map[Key]*worker)
 	}
 	w := &worker{
-		pool: Pool{Key: k, Audit: g.Audit}, maps: g.Map,
+		pool: Pool{Key: k, Audit: g.Audit}, maps: g.Map, sample: g.Sample,
 		requests: make(chan *request, maxRequests), quit: make(chan struct{}),
 	}
+	if g.Sample != nil {
+		w.pool.Sample = w.probe
+	}
 	w.used.Store(time.Now().UnixNano())
 	g.pools[k] = w
 	go w.loop()
--- a/internal/route/granter/pool.go
+++ b/internal/route/granter/pool.go
@@ -21,6 +21,7 @@
 	Settings tracker.Settings               // Slots is taken from the configuration.
 	Policy   picker.Policy[*tracker.Server] // nil means the lowest score.
 	Jitter   func() float64                 // Factor of Retry-After; nil means random from 0.5 to 1.5.
+	Sample   func(*tracker.Server)          // Starts a probe, whose result Observe takes; nil means that none is possible.
 
 	servers tracker.Pool
 	config  parser.Service
@@ -40,7 +41,8 @@
 	rank     parser.Rank
 	since    time.Time
 	deadline time.Time
-	kept     bool // No call uses the slot; the entry keeps it for its next one.
+	pace     float64 // Pace of the server at the grant; 0 when unknown.
+	kept     bool    // No call uses the slot; the entry keeps it for its next one.
 	recalled bool
 }
 
@@ -85,7 +87,12 @@
 	for i := range members {
 		b := &members[i]
 		listed[b.Address] = true
+		if s := p.servers.Find(b.Address); s != nil && (s.Name != b.Name || s.Born != b.Born) {
+			p.servers.Remove(s) // Its grants end with the old process.
+		}
 		s := p.servers.Add(now, b.Name, b.Address, cold)
+		s.Born = b.Born
+		p.servers.Size(now, s, b.Slots)
 		p.servers.Leave(now, s, b.Leaving)
 		p.recallFrom(now, s)
 	}
@@ -128,7 +135,15 @@
 		return
 	}
 	q := &p.queues[a.Rank]
-	p.waits[a.ID] = q.asks.PushBack(&waiting{a, now})
+	if a.Target.IsZero() || a.Target.After(a.Deadline) {
+		a.Target = a.Deadline
+	}
+	if p.hopeless(now, a) {
+		p.refuse(now, a, Late)
+		return
+	}
+	w := &waiting{Ask: a, since: now}
+	p.waits[a.ID] = q.asks.PushBack(w)
 	p.dispatch(now)
 	if p.waits[a.ID] == nil {
 		return
@@ -150,7 +165,9 @@
 		p.refuse(now, a, Late)
 		return
 	}
-	a.Owner.Receive(Reply{Number: a.Number, Kind: Queued})
+	if !p.sampling(now) {
+		w.tell()
+	}
 }
 
 // servable reports whether any server may ever run a call that avoids avoid.
@@ -209,6 +226,7 @@
 		p.servers.Observe(now, s, f)
 		p.recallFrom(now, s)
 		p.dispatch(now)
+		p.tellWaiting(now)
 	}
 }
 
@@ -228,9 +246,10 @@
 		}
 	}
 	p.dispatch(now)
+	p.tellWaiting(now)
 	need := p.serviceTime(now)
 	for id, e := range p.waits {
-		if w := e.Value.(*waiting); now.Add(need).After(w.Deadline) {
+		if w := e.Value.(*waiting); now.Add(need).After(w.Deadline) || p.hopeless(now, w.Ask) {
 			p.remove(id)
 			p.refuse(now, w.Ask, Late)
 		}
@@ -246,7 +265,8 @@
 // grant counts a slot of s as in use by a.
 func (p *Pool) grant(now time.Time, s *tracker.Server, a Ask) {
 	p.servers.Take(s)
-	p.grants[a.ID] = &grant{server: s, rank: a.Rank, since: now, deadline: a.Deadline}
+	pace, _, _ := s.Pace(now)
+	p.grants[a.ID] = &grant{server: s, rank: a.Rank, since: now, deadline: a.Deadline, pace: pace}
 }
 
 // release ends a grant; r is nil when the result is unknown.
@@ -279,6 +299,9 @@
 	held := float64(now.Sub(g.since))
 	p.hold += holdGain * (held - p.hold)
 	p.queues[g.rank].held(held)
+	if g.pace > 0 {
+		p.queues[g.rank].worked(held / g.pace)
+	}
 }
 
 func (p *Pool) member(addr netip.AddrPort) bool {
--- a/internal/route/granter/queue.go
+++ b/internal/route/granter/queue.go
@@ -9,6 +9,7 @@
 type waiting struct {
 	Ask
 	since time.Time
+	told  bool // The owner knows that the ask waits.
 }
 
 // queue holds the asks of one rank in order of arrival.
@@ -16,6 +17,7 @@
 	asks    list.List
 	credit  float64 // Slot time that the floor of the rank has earned, in nanoseconds.
 	hold    float64 // EWMA of the time that a call of the rank uses a slot, in nanoseconds; 0 before any ended.
+	work    float64 // EWMA of that time at the usual pace of the servers; 0 before any ended.
 	granted uint64
 	refused map[string]uint64
 }
@@ -28,6 +30,14 @@
 	q.hold += holdGain * (time - q.hold)
 }
 
+// worked takes in the time of a call at the usual pace of its server.
+func (q *queue) worked(time float64) {
+	if q.work == 0 {
+		q.work = time
+	}
+	q.work += holdGain * (time - q.work)
+}
+
 func (q *queue) len() int { return q.asks.Len() }
 
 // standing is the wait of the oldest ask above which the newest is served
--- a/internal/route/granter/serve.go
+++ b/internal/route/granter/serve.go
@@ -88,7 +88,7 @@
 			p.refuse(now, w.Ask, Late)
 			continue
 		}
-		s := p.pick(now, w.Ask)
+		s := p.choose(now, w)
 		if s == nil {
 			continue
 		}
--- a/internal/route/granter/session.go
+++ b/internal/route/granter/session.go
@@ -106,7 +106,8 @@
 		}
 	}
 	s.granter.Ask(key, Ask{
-		ID: ID{s, a.Number}, Rank: rank(a.Rank), Deadline: now.Add(time.Duration(a.Left)), Avoid: avoid,
+		ID: ID{s, a.Number}, Rank: rank(a.Rank), Deadline: now.Add(time.Duration(a.Left)),
+		Target: now.Add(time.Duration(a.Target)), Avoid: avoid,
 	})
 	return nil
 }
@@ -166,7 +167,7 @@
 func result(d *messenger.Done) tracker.Result {
 	return tracker.Result{
 		Failed: d.Failed, Refused: d.Refused, Drain: d.Drain, Lost: d.Lost,
-		Latency: time.Duration(d.Latency), Busy: int(d.Busy),
+		Latency: time.Duration(d.Latency), Busy: int(d.Busy), Pace: d.Pace,
 	}
 }
 
--- a/internal/route/granter/worker.go
+++ b/internal/route/granter/worker.go
@@ -46,6 +46,7 @@
 type worker struct {
 	pool     Pool
 	maps     *mapper.Holder
+	sample   func(service string, server netip.AddrPort)
 	requests chan *request
 	quit     chan struct{}
 	used     atomic.Int64 // Time of the last request in Unix nanoseconds.
@@ -81,6 +82,8 @@
 	}
 }
 
+func (w *worker) probe(s *tracker.Server) { w.sample(w.pool.Key.Service, s.Address) }
+
 func (w *worker) handle(now time.Time, r *request) {
 	p := &w.pool
 	switch r.op {
--- a/internal/route/mapper/map.go
+++ b/internal/route/mapper/map.go
@@ -1,7 +1,9 @@
 package mapper
 
 import (
+	"cmp"
 	"net/netip"
+	"slices"
 	"sync/atomic"
 
 	"sardinelever.example/sardinelever/internal/config/parser"
@@ -15,6 +17,8 @@
 	Zone    string
 	Region  string
 	Leaving bool
+	Born    uint64 // Start of its process; 0 when the platform does not tell it.
+	Slots   int    // 0 means those of the service.
 }
 
 // Service is the configuration of a service with its backend servers.
@@ -28,6 +32,8 @@
 	Version  uint64 // Version of the bundle; 0 when there is none.
 	Services map[string]*Service
 	Hosts    map[string]*Service // By Host value of callers.
+	Rules    map[string][]*Rule  // By Host value of callers, the longest path first.
+	Limits   parser.Limits
 }
 
 // Join builds the map of bundle b and list l, either of which may be nil.
@@ -36,7 +42,7 @@
 	if b == nil {
 		return m
 	}
-	m.Version = b.Version
+	m.Version, m.Limits = b.Version, b.Limits
 	for i := range b.Services {
 		s := b.Services[i].WithDefaults()
 		m.Services[s.Name] = &Service{Service: &s}
@@ -44,6 +50,7 @@
 			m.Hosts[h] = m.Services[s.Name]
 		}
 	}
+	m.rules(b)
 	if l == nil {
 		return m
 	}
@@ -53,13 +60,27 @@
 	return m
 }
 
+func (m *Map) rules(b *parser.Bundle) {
+	m.Rules = make(map[string][]*Rule)
+	for i := range b.Rules {
+		r := &Rule{Rule: b.Rules[i].WithDefaults(), Services: make([]*Service, len(b.Rules[i].Parts))}
+		for j, p := range r.Parts {
+			r.Services[j] = m.Services[p.Service]
+		}
+		m.Rules[r.Host] = append(m.Rules[r.Host], r)
+	}
+	for _, rules := range m.Rules {
+		slices.SortStableFunc(rules, func(a, b *Rule) int { return cmp.Compare(len(b.Path), len(a.Path)) })
+	}
+}
+
 func (m *Map) add(e *reader.Entry) {
 	s := m.Services[e.Service]
 	if s == nil {
 		return
 	}
 	s.Servers = append(s.Servers, BackendServer{
-		Name: e.Name, Address: e.Address, Zone: e.Zone, Region: e.Region, Leaving: e.Leaving,
+		Name: e.Name, Address: e.Address, Zone: e.Zone, Region: e.Region, Leaving: e.Leaving, Born: e.Born, Slots: e.Slots,
 	})
 }
 
--- /dev/null
+++ b/internal/route/mapper/rule.go
@@ -0,0 +1,52 @@
+package mapper
+
+import (
+	"math/rand/v2"
+	"sync"
+
+	"sardinelever.example/sardinelever/internal/config/parser"
+)
+
+// Rule is a rule of the bundle with its services, in the order of its parts.
+type Rule struct {
+	parser.Rule
+	Services []*Service
+
+	mu     sync.Mutex
+	credit []float64 // Share that each part is owed, in calls.
+}
+
+// Pick returns the service of the next call by smooth weighted round robin: each
+// part earns its share of a call, and the one that is owed most gets it. The
+// counts of any sequence of calls stay within one call of the exact shares. The
+// start is random, so that instances with few calls do not all begin with the
+// heaviest part.
+func (r *Rule) Pick() *Service {
+	if len(r.Services) == 1 {
+		return r.Services[0]
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	total := 0
+	for _, p := range r.Parts {
+		total += p.Weight
+	}
+	if r.credit == nil {
+		r.credit = make([]float64, len(r.Parts))
+		for i, p := range r.Parts {
+			r.credit[i] = (rand.Float64() - 0.5) * float64(min(p.Weight, 1))
+		}
+	}
+	best := -1
+	for i, p := range r.Parts {
+		if p.Weight == 0 {
+			continue
+		}
+		r.credit[i] += float64(p.Weight) / float64(total)
+		if best < 0 || r.credit[i] > r.credit[best] {
+			best = i
+		}
+	}
+	r.credit[best]--
+	return r.Services[best]
+}
--- a/internal/route/tracker/pool.go
+++ b/internal/route/tracker/pool.go
@@ -69,6 +69,9 @@
 		return
 	}
 	for _, s := range p.servers {
+		if s.slots > 0 {
+			continue
+		}
 		limit := min(s.limit, slots)
 		if s.limit == p.Settings.Slots {
 			limit = slots
@@ -93,6 +96,7 @@
 // Apply takes in the result of a call that is in flight and keeps its slot.
 func (p *Pool) Apply(now time.Time, s *Server, r Result) {
 	s.report(now, r.Busy, s.inFlight)
+	s.setPace(now, r.Pace)
 	p.drain(now, s, r.Drain)
 	if r.Failed && !r.Refused {
 		p.hold(now, s, r.Latency)
@@ -113,6 +117,8 @@
 func (p *Pool) Observe(now time.Time, s *Server, f Figure) {
 	at := now.Add(-f.Age)
 	s.report(at, f.Busy, s.inFlight)
+	s.setPace(at, f.Pace)
+	s.probed(now, f.Failed)
 	if f.Drain || at.After(s.drainedAt) && !f.Failed {
 		// Only a probe ends a drain: answers of earlier calls can arrive after the signal.
 		p.drain(now, s, f.Drain)
@@ -158,7 +164,7 @@
 
 func (p *Pool) raise(now time.Time, s *Server) {
 	s.streak++
-	if s.limit >= p.Settings.Slots {
+	if s.limit >= p.most(s) {
 		s.cold = false
 		return
 	}
@@ -223,7 +229,7 @@
 	s.ejected, s.returned, s.streak = false, now, 1
 	s.recent, s.before = tally{}, tally{}
 	p.note(now, s, "trial call succeeded", Trial.String(), s.State(now).String())
-	s.cold = p.Settings.Slots > 1
+	s.cold = p.most(s) > 1
 	p.setLimit(now, s, 1, "cold ramp")
 }
 
@@ -233,6 +239,7 @@
 	for _, s := range p.servers {
 		s.latency, s.recent, s.before, s.held = 0, tally{}, tally{}, nil
 		s.extra, s.busy = 0, -1
+		s.pace, s.paceAt, s.sampled = 0, time.Time{}, time.Time{}
 		if s.ejected {
 			s.ejectedAt = now.Add(-s.delay)
 		}
--- a/internal/route/tracker/server.go
+++ b/internal/route/tracker/server.go
@@ -31,7 +31,8 @@
 	Drain   bool // Drain is set when the backend server asked for no new calls.
 	Lost    bool // Lost is set when no answer arrived; Latency is then the time until the call was given up.
 	Latency time.Duration
-	Busy    int // Calls in flight by the server's own report, -1 when unknown.
+	Busy    int     // Calls in flight by the server's own report, -1 when unknown.
+	Pace    float64 // Time that work takes on it now, relative to its usual time; 0 when unknown.
 }
 
 // Figure is the result of a probe.
@@ -71,6 +72,14 @@
 	extra    float64 // Calls in flight that other homes granted, by the last load report.
 	reported time.Time
 	busy     int
+
+	Born        uint64 // Start of its process; 0 when unknown.
+	slots       int    // 0 means those of the pool.
+	pace        float64
+	paceAt      time.Time
+	sampled     time.Time // Zero when no probe is under way.
+	pausedUntil time.Time
+	pause       time.Duration
 }
 
 // InFlight returns the calls in flight that this pool granted.
