Log each call with what decided about it

Cause: a late call could not be explained: the wait for its slot, the backend server's pace and the age of that figure were known nowhere.

--- a/cmd/sardinelever/run.go
+++ b/cmd/sardinelever/run.go
@@ -8,6 +8,7 @@
 
 	"sardinelever.example/sardinelever/internal/config/parser"
 	"sardinelever.example/sardinelever/internal/instance/runner"
+	"sardinelever.example/sardinelever/internal/operator/logger"
 	"sardinelever.example/sardinelever/platform"
 )
 
@@ -28,6 +29,7 @@
 	}
 	// Parts without a Log of their own write to the default one.
 	log.DefaultLogger.SetLevel(log.ParseLevel(s.Level))
+	log.DefaultLogger.Writer = &log.IOWriter{Writer: &logger.Writer{Out: os.Stdout}}
 	r := &runner.Runner{Settings: s}
 	if s.Dialect == "cymdeithas" {
 		if r.Platform, err = platform.New(s); err != nil {
--- a/internal/instance/runner/attempt.go
+++ b/internal/instance/runner/attempt.go
@@ -24,6 +24,7 @@
 	call  *classifier.Call
 	body  *retrier.Body
 	hedge bool // Two attempts may run at a time.
+	trace trace
 }
 
 // replay reports whether another attempt can send the same body. The trailers
@@ -36,6 +37,7 @@
 	need := asker.Need{Service: c.Service.Name, Rank: c.Rank, Deadline: c.Deadline, Target: c.Target, Avoid: a.Avoid()}
 	asked := time.Now()
 	slot, err := t.asker.Acquire(ctx, need)
+	t.trace.asked(time.Since(asked))
 	if err != nil {
 		return nil, err
 	}
@@ -64,6 +66,7 @@
 		t.guard.Send()
 	}
 	resp, err := t.sender.Send(ctx, o)
+	t.trace.sent(a.Number, slot, name, time.Since(o.Sent), resp, err)
 	result := t.measure(resp, err, time.Since(o.Sent))
 	if err == nil {
 		return &answer{resp: resp, slot: slot, result: result}, nil
--- a/internal/instance/runner/parts.go
+++ b/internal/instance/runner/parts.go
@@ -132,7 +132,7 @@
 
 func (p *parts) buildCall() {
 	p.pipe.maps, p.pipe.asker, p.pipe.meter, p.pipe.check = &p.maps, &p.asker, p.meter, p.detector.Check
-	p.pipe.answer.Instance = p.settings.Name
+	p.pipe.answer.Instance, p.pipe.log = p.settings.Name, p.log
 	p.pipe.sender.Instances = p.instances
 	if p.platform != nil {
 		p.pipe.answer.Dialect, p.pipe.sender.Dialect = p.platform.Dialect, p.platform.Dialect
--- a/internal/instance/runner/pipe.go
+++ b/internal/instance/runner/pipe.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/phuslu/log"
 	"github.com/pkg/errors"
 
 	"sardinelever.example/sardinelever/internal/call/answerer"
@@ -36,6 +37,7 @@
 	bytes    sender.Bytes
 	meter    *meter.Meter // nil counts nothing.
 	stopping atomic.Bool  // Connections of callers are closed after their answers.
+	log      *log.Logger  // nil writes no lines of calls.
 	check    func()       // Called before the decisions of a call; notices a pause of the process.
 }
 
@@ -111,24 +113,27 @@
 	defer cancel()
 	free, ok := p.bytes.Take(c.Service.Name, c.Service.Queue.Bytes, bodyBytes(r))
 	if !ok {
-		p.answer.Report(w, answerer.Report{Status: http.StatusServiceUnavailable, Reason: "memory", After: time.Second})
-		p.count(c, sender.Rejected.String(), start)
+		report := answerer.Report{Status: http.StatusServiceUnavailable, Reason: "memory", After: time.Second}
+		p.answer.Report(w, report)
+		p.ended(&attempts{pipe: p, call: c}, sender.Rejected.String(), &report, start)
 		return false
 	}
 	defer free()
 	body := &retrier.Body{Source: r.Body}
 	g := answerer.Watch(ctx, w, body)
 	defer g.End()
-	a, err := p.retrier.Do(ctx, p.order(&attempts{pipe: p, guard: g, w: w, r: r, call: c, body: body}))
+	t := &attempts{pipe: p, guard: g, w: w, r: r, call: c, body: body}
+	a, err := p.retrier.Do(ctx, p.order(t))
 	g.Answer()
 	if err != nil {
-		o := p.report(ctx, w, err)
-		p.count(c, o.String(), start)
-		return o != sender.Rejected
+		report := p.reportOf(ctx, err)
+		p.answer.Report(w, report)
+		p.ended(t, report.Outcome.String(), &report, start)
+		return report.Outcome != sender.Rejected
 	}
 	defer a.release()
 	outcome := sender.Failed.String()
-	defer func() { p.count(c, outcome, start) }() // Copy panics when the answer is cut off.
+	defer func() { p.ended(t, outcome, nil, start) }() // Copy panics when the answer is cut off.
 	failed := a.resp.StatusCode >= http.StatusInternalServerError
 	p.answer.Copy(w, a.resp)
 	if !failed {
@@ -137,6 +142,17 @@
 	return true
 }
 
+// ended counts and logs a call that was accepted at start.
+func (p *pipe) ended(t *attempts, outcome string, report *answerer.Report, start time.Time) {
+	p.count(t.call, outcome, start)
+	var reason string
+	var after time.Duration
+	if report != nil {
+		reason, after = report.Reason, report.After
+	}
+	t.trace.line(p.log, t.call, p.maps.Load().Version, outcome, reason, after, time.Since(start))
+}
+
 // count updates the metrics of a call that was accepted at start.
 func (p *pipe) count(c *classifier.Call, outcome string, start time.Time) {
 	if p.meter == nil {
@@ -156,8 +172,8 @@
 	}
 }
 
-// report tells the caller why there is no answer and returns the outcome.
-func (p *pipe) report(ctx context.Context, w http.ResponseWriter, err error) sender.Outcome {
+// reportOf returns why there is no answer.
+func (p *pipe) reportOf(ctx context.Context, err error) answerer.Report {
 	report := answerer.Report{Status: http.StatusServiceUnavailable, Reason: "late", After: time.Second}
 	var f *sender.Failure
 	var refusal *asker.Refusal
@@ -169,8 +185,7 @@
 	case errors.As(err, &refusal):
 		report.Reason, report.After = refusal.Reason, refusal.After
 	}
-	p.answer.Report(w, report)
-	return report.Outcome
+	return report
 }
 
 // callBuffers is what a call with a body holds besides the body, in bytes: the
--- /dev/null
+++ b/internal/instance/runner/trace.go
@@ -0,0 +1,71 @@
+package runner
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/phuslu/log"
+	"github.com/pkg/errors"
+
+	"sardinelever.example/sardinelever/internal/call/classifier"
+	"sardinelever.example/sardinelever/internal/call/sender"
+	"sardinelever.example/sardinelever/internal/route/asker"
+)
+
+// trace collects what decided about one call, for its line in the log.
+type trace struct {
+	mu       sync.Mutex
+	wait     time.Duration // Time of all waits for slots.
+	attempts []string
+}
+
+func (t *trace) asked(wait time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.wait += wait
+}
+
+// sent adds an attempt: its backend server, the home that granted it with the
+// pace that decided and the age of that report, and what came back.
+func (t *trace) sent(number int, s *asker.Slot, name string, took time.Duration, resp *http.Response, err error) {
+	result := "-"
+	var f *sender.Failure
+	switch {
+	case errors.As(err, &f):
+		result = f.Outcome.String() + " " + f.Reason
+	case resp != nil:
+		result = fmt.Sprint(resp.StatusCode)
+	}
+	if name == "" {
+		name = s.Server.String()
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.attempts = append(t.attempts, fmt.Sprintf("%d %s home=%s pace=%.2f age=%s took=%s: %s",
+		number, name, s.Home, s.Pace, s.Age.Round(time.Millisecond), took.Round(time.Millisecond), result))
+}
+
+// line writes the log line of a call: what it was, what decided and how it ended.
+func (t *trace) line(l *log.Logger, c *classifier.Call, version uint64, outcome, reason string, after, took time.Duration) {
+	if l == nil {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e := l.Info().Str("id", c.ID).Str("outcome", outcome)
+	if reason != "" {
+		e = e.Str("reason", reason)
+	}
+	if after > 0 {
+		e = e.Dur("after", after)
+	}
+	e = e.Str("service", c.Service.Name).Str("rank", c.Rank.String()).Uint64("config", version).
+		Dur("took", took).Dur("wait", t.wait).Dur("left", time.Until(c.Deadline))
+	if c.Rule != nil {
+		e = e.Str("rule", c.Rule.Name)
+	}
+	e.Str("attempts", strings.Join(t.attempts, "; ")).Msg("call: ended")
+}
--- /dev/null
+++ b/internal/operator/logger/doc.go
@@ -0,0 +1,2 @@
+// Package logger writes log lines without ever blocking who logs.
+package logger
--- a/internal/route/asker/ask.go
+++ b/internal/route/asker/ask.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net/netip"
 	"sync"
 	"time"
 
@@ -56,7 +55,7 @@
 		case granter.Offered:
 			// An offer that is not the first stays open and is cancelled by finish.
 			if w.winner == nil {
-				w.winner, w.server = p, r.Server
+				w.winner, w.offer = p, r
 			}
 		}
 	}
@@ -86,7 +85,7 @@
 	mu     sync.Mutex
 	parts  []*part
 	winner *part
-	server netip.AddrPort
+	offer  granter.Reply
 }
 
 func (w *ask) signal() {
@@ -192,7 +191,10 @@
 // broke after the offer, the slot is reported to the next home.
 func (w *ask) win(p *part) *Slot {
 	w.finish(p)
-	s := &Slot{Server: w.server, part: p, homes: []home{p.home}}
+	s := &Slot{
+		Server: w.offer.Server, Home: p.tried[len(p.tried)-1], Pace: w.offer.Pace, Age: w.offer.Age,
+		part: p, homes: []home{p.home},
+	}
 	if !p.home.hold(s) {
 		s.lost(p.home.(*link))
 	}
--- a/internal/route/asker/message.go
+++ b/internal/route/asker/message.go
@@ -60,7 +60,7 @@
 		if err := r.Server.UnmarshalBinary(k.Offer.Server); err != nil {
 			return r, false, errors.Wrap(messenger.ErrFrame, err.Error())
 		}
-		r.Keep = k.Offer.Keep
+		r.Keep, r.Pace, r.Age = k.Offer.Keep, k.Offer.Pace, time.Duration(k.Offer.Age)
 	case *messenger.Grant_Recall:
 		r = granter.Reply{Number: k.Recall.Number, Kind: granter.Recalled}
 	case *messenger.Grant_Queued:
--- a/internal/route/asker/slot.go
+++ b/internal/route/asker/slot.go
@@ -3,11 +3,15 @@
 import (
 	"net/netip"
 	"sync"
+	"time"
 )
 
 // Slot is the right to send one call to Server; it is given back by Release.
 type Slot struct {
 	Server netip.AddrPort
+	Home   string        // Instance that granted the slot; empty for baselines.
+	Pace   float64       // Pace of the server that decided; 0 when unknown.
+	Age    time.Duration // Age of the report of the pace.
 
 	part *part
 	free func(Result) // Set for baselines only.
--- a/internal/route/granter/ask.go
+++ b/internal/route/granter/ask.go
@@ -51,7 +51,9 @@
 	Number uint64
 	Kind   Kind
 	Server netip.AddrPort
-	Keep   bool // The entry may keep the slot for its next call.
+	Pace   float64       // Pace of the server that decided; 0 when unknown.
+	Age    time.Duration // Age of the report of the pace.
+	Keep   bool          // The entry may keep the slot for its next call.
 	Reason string
 	After  time.Duration // Time before another try makes sense.
 }
--- a/internal/route/granter/serve.go
+++ b/internal/route/granter/serve.go
@@ -95,7 +95,11 @@
 		p.remove(w.ID)
 		p.grant(now, s, w.Ask)
 		p.earn(r)
-		w.Owner.Receive(Reply{Number: w.Number, Kind: Offered, Server: s.Address, Keep: p.spare(now)})
+		r := Reply{Number: w.Number, Kind: Offered, Server: s.Address, Keep: p.spare(now)}
+		if pace, age, ok := s.Pace(now); ok {
+			r.Pace, r.Age = pace, age
+		}
+		w.Owner.Receive(r)
 		return true
 	}
 	return false
--- a/internal/route/granter/session.go
+++ b/internal/route/granter/session.go
@@ -154,7 +154,7 @@
 		m.Kind = &messenger.Grant_Queued{Queued: &messenger.Queued{Number: r.Number}}
 	case Offered:
 		server, _ := r.Server.MarshalBinary() // Never fails.
-		m.Kind = &messenger.Grant_Offer{Offer: &messenger.Offer{Number: r.Number, Server: server, Keep: r.Keep}}
+		m.Kind = &messenger.Grant_Offer{Offer: &messenger.Offer{Number: r.Number, Server: server, Keep: r.Keep, Pace: r.Pace, Age: int64(r.Age)}}
 	case Recalled:
 		m.Kind = &messenger.Grant_Recall{Recall: &messenger.Recall{Number: r.Number}}
 	case Refused:
