Follow two sources of records

Change: each instance keeps two sources in rendezvous order over the region, itself among them; watches last 1 s; a reader whose call failed says so at once. Also in this commit, as a trial: asks are admitted only when they should meet their target.

--- a/internal/instance/runner/parts.go
+++ b/internal/instance/runner/parts.go
@@ -121,6 +121,7 @@
 	p.asker = asker.Asker{
 		Map: &p.maps, Name: s.Name, Zone: s.Zone, Region: s.Region,
 		Granter: &p.granter, Fleet: &p.members, Links: &p.linker, Policy: policies[s.Policy],
+		Fresh: p.platform != nil, // A kept slot is used without a fresh report.
 	}
 	p.prober = prober.Prober{Name: s.Name, View: p.probeView, Idle: p.idle, Report: p.report, Log: p.log}
 }
--- a/internal/platform/watcher/feed.go
+++ b/internal/platform/watcher/feed.go
@@ -40,6 +40,9 @@
 		select {
 		case <-changed:
 		case <-t.C:
+			if last == 0 {
+				return // Nothing is known here; the follower needs another source.
+			}
 		}
 	}
 }
@@ -54,17 +57,26 @@
 		return nil, 0, w.changed
 	}
 	records, last, full := w.table.Since(after, sequence)
-	m = &messenger.Feed{At: at, Age: int64(time.Since(w.table.Confirmed())), Full: full}
+	age := time.Since(w.table.Confirmed())
+	if w.failing.Load() && !w.following(time.Now()) {
+		age = max(age, stale)
+	}
+	m = &messenger.Feed{At: at, Age: int64(age), Full: full}
 	for _, r := range records {
 		m.Records = append(m.Records, &messenger.Record{Key: r.Key, Value: r.Value, Revision: r.Revision, Deleted: r.Deleted})
 	}
 	return m, last, w.changed
 }
 
+// following reports whether the records are those of the store without this
+// instance reading it; w.mu is held.
+func (w *Watcher) following(now time.Time) bool { return now.Sub(w.table.Confirmed()) < beat }
+
 // follow takes the records of another instance until it is silent, has no
 // contact to the store or another source comes first.
-func (w *Watcher) follow(ctx context.Context, m registrar.Member) {
-	err := w.read(ctx, m)
+func (l *lane) follow(ctx context.Context, m registrar.Member) {
+	w := l.Watcher
+	err := l.read(ctx, m)
 	if err == nil || ctx.Err() != nil {
 		return
 	}
@@ -74,7 +86,8 @@
 	w.Log.Warn().Str("instance", m.Name).Err(err).Uint64("revision", w.At()).Msg("platform: records are no longer followed there")
 }
 
-func (w *Watcher) read(ctx context.Context, m registrar.Member) error {
+func (l *lane) read(ctx context.Context, m registrar.Member) error {
+	w := l.Watcher
 	limited, cancel := context.WithTimeout(ctx, openTimeout)
 	conn, err := w.Links.Open(limited, m.Peer, linker.Feed)
 	cancel()
@@ -98,22 +111,12 @@
 			return err
 		}
 		w.expire()
-		if s := w.source(time.Now()); !w.stays(s, m) {
+		if s, _ := l.source(time.Now()); s == nil || s.Name != m.Name {
 			return nil
 		}
 	}
 }
 
-// stays reports whether m is still the source to follow.
-func (w *Watcher) stays(s *registrar.Member, m registrar.Member) bool {
-	if s == nil {
-		// This instance is the first; it follows another one only while the
-		// store does not answer it.
-		return time.Now().Before(w.next)
-	}
-	return s.Name == m.Name
-}
-
 func (w *Watcher) takeFeed(f *messenger.Feed) error {
 	age := time.Duration(f.Age)
 	b := Batch{At: f.At, Records: make([]Record, 0, len(f.Records))}
@@ -126,7 +129,7 @@
 		}
 		return w.table.Apply(now, b)
 	})
-	if age > outage+patience {
+	if age >= stale {
 		return errStale
 	}
 	return nil
--- a/internal/platform/watcher/table.go
+++ b/internal/platform/watcher/table.go
@@ -31,9 +31,9 @@
 	// defaultHold exceeds the 2 s within which the platform states that lapsed
 	// records of living backend servers are back after an outage.
 	defaultHold = 2200 * time.Millisecond
-	// outage is the time without confirmation that counts as an outage: more
-	// than a watch may take when it is answered.
-	outage = watchWait + watchGrace
+	// outage is the time without confirmation that counts as an outage of the
+	// store: longer than the loss of all sources of one instance.
+	outage = 2500 * time.Millisecond
 	// maxTombstones bounds the deleted records that are remembered for followers.
 	maxTombstones = 1024
 )
--- a/internal/platform/watcher/watcher.go
+++ b/internal/platform/watcher/watcher.go
@@ -49,6 +49,9 @@
 	changed chan struct{} // Closed and replaced at each change.
 	avoid   map[string]time.Time
 
+	publishing sync.Mutex // Serializes publish.
+	published  uint64     // Revision of the last published list.
+
 	list    atomic.Pointer[reader.List]
 	asked   atomic.Int64 // Time of the last subscription, Unix nanoseconds.
 	calls   atomic.Int64
@@ -67,27 +70,32 @@
 }
 
 const (
-	// watchWait bounds a watch: a path that went silent is noticed after this
-	// time and watchGrace, well within the time for a configuration to apply.
-	watchWait  = 2 * time.Second
-	watchGrace = 500 * time.Millisecond
+	// lanesCount is the number of sources of an instance.
+	lanesCount = 2
+	// watchWait bounds a watch, and watchGrace its answer: a path that went
+	// silent is noticed within their sum, which leaves time for another source
+	// within the 2 s in which a configuration must be in force.
+	watchWait  = time.Second
+	watchGrace = 300 * time.Millisecond
 	// rangeTimeout bounds a read of all records.
 	rangeTimeout = time.Second
 	// settle is the time between a change and the next watch, so that changes
 	// in quick succession share a call.
 	settle = 250 * time.Millisecond
-	// patience is the time without a word of the followed instance, or without
-	// its contact to the store, after which another source is used.
+	// patience is the time without a word of the followed instance after which
+	// another source is used.
 	patience = 1200 * time.Millisecond
 	// beat is the time between two messages of a feed without changes.
 	beat = 400 * time.Millisecond
+	// stale is the age from which records do not count as those of the store.
+	stale = watchWait + watchGrace + 200*time.Millisecond
 	// openTimeout bounds the opening of a feed.
 	openTimeout = 300 * time.Millisecond
 	// avoidTime is the time for which a source that failed is not asked again.
 	avoidTime = 3 * time.Second
 	// leastDelay and mostDelay bound the delay after failed calls to the store.
 	leastDelay = 100 * time.Millisecond
-	mostDelay  = time.Second
+	mostDelay  = 2 * time.Second
 	// idleStep is the time between two looks for a source when there is none.
 	idleStep = 50 * time.Millisecond
 )
@@ -121,89 +129,101 @@
 // Run follows the records until ctx is done and returns nil.
 func (w *Watcher) Run(ctx context.Context) error {
 	w.setup()
-	for ctx.Err() == nil {
-		w.expire()
-		w.step(ctx)
+	var lanes sync.WaitGroup
+	for i := range lanesCount {
+		lanes.Add(1)
+		go (&lane{Watcher: w, place: i}).run(ctx, &lanes)
 	}
+	lanes.Wait()
 	return nil
 }
 
 func (w *Watcher) setup() {
-	if w.Log == nil {
-		w.Log = &log.DefaultLogger
-	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if w.changed == nil {
+		if w.Log == nil {
+			w.Log = &log.DefaultLogger
+		}
 		w.changed, w.avoid = make(chan struct{}), make(map[string]time.Time)
 		w.decoded, w.bad = make(map[string]decoded), make(map[string]bool)
 	}
 }
 
+// lane keeps one source in use. An instance has two, so that its records stay
+// those of the store while one source is lost or cut off from the store.
+type lane struct {
+	*Watcher
+	place int // Place of the source among those that can be used.
+}
+
+func (l *lane) run(ctx context.Context, done *sync.WaitGroup) {
+	defer done.Done()
+	for ctx.Err() == nil {
+		l.expire()
+		l.step(ctx)
+	}
+}
+
 // step loads, watches or follows once.
-func (w *Watcher) step(ctx context.Context) {
+func (l *lane) step(ctx context.Context) {
 	now := time.Now()
-	w.mu.Lock()
-	_, loaded := w.table.At()
-	w.mu.Unlock()
-	source := w.source(now)
-	mayCall := !now.Before(w.next)
+	l.mu.Lock()
+	_, loaded := l.table.At()
+	l.mu.Unlock()
+	if !loaded && l.place == 0 && l.mayCall(now) {
+		l.load(ctx, true)
+		return
+	}
+	source, self := l.source(now)
 	switch {
-	case !loaded && mayCall:
-		w.load(ctx, true)
-	case loaded && source == nil && mayCall:
-		w.watch(ctx)
+	case self && loaded:
+		l.watch(ctx)
 	case source != nil:
-		w.follow(ctx, *source)
+		l.follow(ctx, *source)
 	default:
-		// Neither the store nor another instance can be asked now.
-		if p := w.anyPeer(now); p != nil {
-			w.follow(ctx, *p)
-			return
-		}
-		sleeper.Sleep(ctx, min(idleStep, max(time.Until(w.next), time.Millisecond)))
+		sleeper.Sleep(ctx, idleStep)
 	}
 }
 
-// source returns the instance to follow, nil when this instance reads the store:
-// the first in rendezvous order among those of its zone that did not fail lately.
-func (w *Watcher) source(now time.Time) *registrar.Member {
-	members := w.Fleet.Usable(w.Zone, w.Region)
+// mayCall reports whether the delay after a failed call to the store has passed.
+func (w *Watcher) mayCall(now time.Time) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	names := make([]string, 0, len(members))
+	return !now.Before(w.next)
+}
+
+// source returns the instance to follow, or self when this instance is to read
+// the store: the members of the region in rendezvous order, those that failed
+// lately left out, give one source to each lane.
+func (l *lane) source(now time.Time) (m *registrar.Member, self bool) {
+	members := l.Fleet.Usable("", l.Region)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	names := make([]string, 0, len(members)+1)
 	for i := range members {
-		if now.After(w.avoid[members[i].Name]) || members[i].Name == w.Name {
-			names = append(names, members[i].Name)
+		n := members[i].Name
+		if n != l.Name && !now.Before(l.avoid[n]) {
+			names = append(names, n)
 		}
 	}
-	first := placer.First("records", names)
-	if first == "" || first == w.Name {
-		return nil
+	if !now.Before(l.next) {
+		names = append(names, l.Name)
 	}
-	for i := range members {
-		if members[i].Name == first {
-			return &members[i]
-		}
+	names = placer.Order("records", names)
+	if l.place >= len(names) {
+		return nil, false
 	}
-	return nil
-}
-
-// anyPeer returns a random other instance of the region that did not fail lately.
-func (w *Watcher) anyPeer(now time.Time) *registrar.Member {
-	members := w.Fleet.Usable("", w.Region)
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	var out []registrar.Member
-	for _, m := range members {
-		if m.Name != w.Name && now.After(w.avoid[m.Name]) {
-			out = append(out, m)
-		}
+	name := names[l.place]
+	if name == l.Name {
+		return nil, true
 	}
-	if len(out) == 0 {
-		return nil
+	for i := range members {
+		if members[i].Name == name {
+			return &members[i], false
+		}
 	}
-	return &out[rand.IntN(len(out))]
+	return nil, false
 }
 
 // load reads all records.
@@ -246,6 +266,8 @@
 		if w.failing.Swap(false) {
 			w.Log.Info().Uint64("revision", w.At()).Msg("platform: store answers again")
 		}
+		w.mu.Lock()
+		defer w.mu.Unlock()
 		w.delay, w.next = 0, time.Time{}
 		return false
 	}
@@ -256,8 +278,11 @@
 		w.Log.Warn().Str("call", call).Err(err).Uint64("revision", w.At()).Dur("age", time.Since(w.Confirmed())).
 			Msg("platform: store does not answer this instance; other instances are asked")
 	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
 	w.delay = min(mostDelay, max(leastDelay, 2*w.delay))
 	w.next = time.Now().Add(w.delay/2 + rand.N(w.delay/2+1))
+	w.wake() // Followers look for another source at once.
 	return true
 }
 
@@ -272,8 +297,7 @@
 	live := w.table.Live()
 	at, _ := w.table.At()
 	if len(changed) > 0 {
-		close(w.changed)
-		w.changed = make(chan struct{})
+		w.wake()
 	}
 	w.mu.Unlock()
 	if len(changed) > 0 || w.list.Load() == nil {
@@ -281,6 +305,12 @@
 	}
 }
 
+// wake tells the followers that there is news; w.mu is held.
+func (w *Watcher) wake() {
+	close(w.changed)
+	w.changed = make(chan struct{})
+}
+
 func (w *Watcher) expire() {
 	w.mu.Lock()
 	held := w.table.Held()
@@ -292,6 +322,12 @@
 
 // publish offers changed bundles and builds the list of backend servers.
 func (w *Watcher) publish(at uint64, live, changed []Record) {
+	w.publishing.Lock()
+	defer w.publishing.Unlock()
+	if w.published > at {
+		return // The other lane has published later records, these included.
+	}
+	w.published = at
 	list := &reader.List{Time: time.Now(), Entries: w.entries(live)}
 	for _, r := range changed {
 		if r.Deleted {
--- a/internal/route/granter/fresh.go
+++ b/internal/route/granter/fresh.go
@@ -30,25 +30,24 @@
 	calm = 1.5
 	// slowAge is the age up to which a report of a slow pace is believed.
 	slowAge = 100 * time.Millisecond
-	// crowded is the share of busy slots above which some servers slow down,
-	// and crowding the factor by which they count as slower.
-	crowded  = 0.8
+	// crowding is the factor by which a nearly full server counts as slower
+	// while it is not known whether it is.
 	crowding = 1.7
-	// shortest is the share of the expected work below which a call never ends:
-	// work is spread by about a third.
-	shortest = 0.5
 	// neutral is the pace of a server without a report.
 	neutral = 1.0
 )
 
 // choose returns the server for w, nil when it should wait.
 func (p *Pool) choose(now time.Time, w *waiting) *tracker.Server {
-	if fresh := p.config.Probe.Fresh.Std(); fresh > 0 && p.Sample != nil {
-		return p.chooseFresh(now, w, fresh)
+	if p.fresh() {
+		return p.chooseFresh(now, w, p.config.Probe.Fresh.Std())
 	}
 	return p.pick(now, w.Ask)
 }
 
+// fresh reports whether grants wait for fresh load reports.
+func (p *Pool) fresh() bool { return p.config.Probe.Fresh > 0 && p.Sample != nil }
+
 // option is a server that has a free slot.
 type option struct {
 	server *tracker.Server
@@ -60,7 +59,7 @@
 	var known, slow, stale []option
 	pending := 0
 	for _, s := range p.servers.Servers() {
-		if s.Free(now) == 0 || s.Paused(now) || slices.Contains(w.Avoid, s.Address) {
+		if p.room(now, s) == 0 || s.Paused(now) || slices.Contains(w.Avoid, s.Address) {
 			continue
 		}
 		o := p.option(now, s)
@@ -95,9 +94,8 @@
 		pace = neutral
 	}
 	busy := float64(s.InFlight()) + p.servers.Foreign(now, s)
-	slots := float64(max(s.Slots(), s.Limit()))
-	cost := pace * (1 + busy/slots/4)
-	if (busy+1)/slots > crowded {
+	cost := pace * (1 + busy/float64(slotsOf(s))/4)
+	if p.crowds(s) {
 		cost *= crowding
 	}
 	return option{s, cost + p.servers.Failures(now, s)*failureCost, pace}
@@ -158,14 +156,9 @@
 	return 0
 }
 
-// hopeless reports whether no server can end the call before its deadline.
-func (p *Pool) hopeless(now time.Time, a Ask) bool {
-	return now.Add(time.Duration(shortest * float64(p.workOf(a)))).After(a.Deadline)
-}
-
 // sampling reports whether a probe is under way for which asks wait.
 func (p *Pool) sampling(now time.Time) bool {
-	if p.Sample == nil || p.config.Probe.Fresh <= 0 {
+	if !p.fresh() {
 		return false
 	}
 	return slices.ContainsFunc(p.servers.Servers(), func(s *tracker.Server) bool {
--- a/internal/route/granter/pool.go
+++ b/internal/route/granter/pool.go
@@ -32,6 +32,8 @@
 	kept    int // Grants that entries keep between calls.
 	hold    float64
 	urgent  time.Time // Last urgent ask.
+	crowd   crowd
+	spread  float64 // Slots of the whole service over those of the pool.
 	scratch []picker.Candidate[*tracker.Server]
 }
 
@@ -42,6 +44,7 @@
 	since    time.Time
 	deadline time.Time
 	pace     float64 // Pace of the server at the grant; 0 when unknown.
+	crowded  bool    // The server was nearly full at the grant.
 	kept     bool    // No call uses the slot; the entry keeps it for its next one.
 	recalled bool
 }
@@ -74,6 +77,7 @@
 	if s := m.Services[p.Key.Service]; s != nil {
 		p.config = s.Service.WithDefaults()
 		members = Members(s, p.Key)
+		p.spread = spreadOf(s, members)
 	}
 	if first {
 		p.servers = tracker.Pool{Settings: p.Settings, Audit: p.Audit}
@@ -148,8 +152,12 @@
 	if p.waits[a.ID] == nil {
 		return
 	}
-	newest := q.overloaded(now)
+	newest := p.newestFirst(now, q)
 	switch {
+	case p.fresh() && !p.admits(now, a):
+		p.remove(a.ID)
+		p.refuse(now, a, Full)
+		return
 	case q.len() > p.capacity():
 		drop := q.first(false).Value.(*waiting).Ask
 		if !newest {
@@ -160,7 +168,7 @@
 		if drop.ID == a.ID {
 			return
 		}
-	case !newest && now.Add(p.backlog(now, a.Rank)+p.serviceTime(now)).After(a.Deadline):
+	case !p.fresh() && !newest && now.Add(p.backlog(now, a.Rank)+p.serviceTime(now)).After(a.Deadline):
 		p.remove(a.ID)
 		p.refuse(now, a, Late)
 		return
@@ -247,9 +255,8 @@
 	}
 	p.dispatch(now)
 	p.tellWaiting(now)
-	need := p.serviceTime(now)
 	for id, e := range p.waits {
-		if w := e.Value.(*waiting); now.Add(need).After(w.Deadline) || p.hopeless(now, w.Ask) {
+		if w := e.Value.(*waiting); p.late(now, w) {
 			p.remove(id)
 			p.refuse(now, w.Ask, Late)
 		}
@@ -264,9 +271,9 @@
 
 // grant counts a slot of s as in use by a.
 func (p *Pool) grant(now time.Time, s *tracker.Server, a Ask) {
-	p.servers.Take(s)
 	pace, _, _ := s.Pace(now)
-	p.grants[a.ID] = &grant{server: s, rank: a.Rank, since: now, deadline: a.Deadline, pace: pace}
+	p.servers.Take(s)
+	p.grants[a.ID] = &grant{server: s, rank: a.Rank, since: now, deadline: a.Deadline, pace: pace, crowded: p.crowds(s)}
 }
 
 // release ends a grant; r is nil when the result is unknown.
@@ -299,9 +306,7 @@
 	held := float64(now.Sub(g.since))
 	p.hold += holdGain * (held - p.hold)
 	p.queues[g.rank].held(held)
-	if g.pace > 0 {
-		p.queues[g.rank].worked(held / g.pace)
-	}
+	p.worked(g, held)
 }
 
 func (p *Pool) member(addr netip.AddrPort) bool {
--- a/internal/route/granter/serve.go
+++ b/internal/route/granter/serve.go
@@ -78,7 +78,7 @@
 
 func (p *Pool) serveRank(now time.Time, r parser.Rank) bool {
 	q := &p.queues[r]
-	newest := q.overloaded(now)
+	newest := p.newestFirst(now, q)
 	scanned := 0
 	for e := q.first(newest); e != nil && scanned < maxScan; scanned++ {
 		w := e.Value.(*waiting)
@@ -204,6 +204,9 @@
 func (p *Pool) refuse(now time.Time, a Ask, reason string) {
 	p.queues[a.Rank].refuse(reason)
 	after := max(p.backlog(now, a.Rank), minRetry)
+	if p.fresh() {
+		after = max(p.expectedWait(now, a.Rank), minRetry)
+	}
 	if reason == None {
 		after = noneRetry
 	}
