Leave a fifth of the slots of larger servers free

Change: setting fill, 0.8 on the platform, for servers of 4 slots or more. A measurement of the effect was tried first and dropped: the base was learned from calls that became crowded later, so the cap was lifted at once.

--- a/internal/config/parser/check.go
+++ b/internal/config/parser/check.go
@@ -18,7 +18,8 @@
 	maxSlots    = 1 << 16
 	maxDeadline = 24 * time.Hour // The header Sardine-Deadline has the same limit.
 	maxFloors   = 0.5
-	minMemory   = 32 // MB; the process itself takes about 20.
+	minFill     = 0.25 // One of 4 slots, the fewest to which fill applies.
+	minMemory   = 32   // MB; the process itself takes about 20.
 
 	// Below 10 s for reading the list and 5 s for the clocks of callers, the
 	// rule of identified calls does not hold (package deduper). After a change
--- a/internal/config/parser/check_service.go
+++ b/internal/config/parser/check_service.go
@@ -86,6 +86,7 @@
 		c.add(join(at, "connections"), "%d connections cannot serve %d slots", full.Connections, s.Slots)
 	}
 	number(c, join(at, "deadline"), s.Deadline, Duration(time.Millisecond), Duration(maxDeadline))
+	number(c, join(at, "fill"), s.Fill, minFill, 1)
 	c.hosts(join(at, "hosts"), s.Hosts)
 	c.floors(join(at, "floors"), s, &full)
 	number(c, join(at, "queue.calls"), s.Queue.Calls, 1, 1<<20)
--- a/internal/config/parser/service.go
+++ b/internal/config/parser/service.go
@@ -30,6 +30,7 @@
 	Slots       int      `toml:"slots"`                 // Calls that one backend server runs at a time.
 	Connections int      `toml:"connections,omitempty"` // Connections to one backend server over the whole fleet; 0 means 250.
 	Deadline    Duration `toml:"deadline,omitempty"`    // Default of the routes; 0 means 10s.
+	Fill        float64  `toml:"fill,omitempty"`        // Share of the slots of a backend server that is used when it has 4 or more; 0 means all.
 	Floors      Floors   `toml:"floors,omitempty"`
 	Queue       Queue    `toml:"queue,omitempty"`
 	Probe       Probe    `toml:"probe,omitempty"`
--- a/internal/route/granter/fresh.go
+++ b/internal/route/granter/fresh.go
@@ -30,9 +30,6 @@
 	calm = 1.5
 	// slowAge is the age up to which a report of a slow pace is believed.
 	slowAge = 100 * time.Millisecond
-	// crowding is the factor by which a nearly full server counts as slower
-	// while it is not known whether it is.
-	crowding = 1.7
 	// neutral is the pace of a server without a report.
 	neutral = 1.0
 )
@@ -95,9 +92,6 @@
 	}
 	busy := float64(s.InFlight()) + p.servers.Foreign(now, s)
 	cost := pace * (1 + busy/float64(slotsOf(s))/4)
-	if p.crowds(s) {
-		cost *= crowding
-	}
 	return option{s, cost + p.servers.Failures(now, s)*failureCost, pace}
 }
 
--- a/internal/route/granter/pool.go
+++ b/internal/route/granter/pool.go
@@ -32,8 +32,7 @@
 	kept    int // Grants that entries keep between calls.
 	hold    float64
 	urgent  time.Time // Last urgent ask.
-	crowd   crowd
-	spread  float64 // Slots of the whole service over those of the pool.
+	spread  float64   // Slots of the whole service over those of the pool.
 	scratch []picker.Candidate[*tracker.Server]
 }
 
@@ -44,7 +43,6 @@
 	since    time.Time
 	deadline time.Time
 	pace     float64 // Pace of the server at the grant; 0 when unknown.
-	crowded  bool    // The server was nearly full at the grant.
 	kept     bool    // No call uses the slot; the entry keeps it for its next one.
 	recalled bool
 }
@@ -273,7 +271,7 @@
 func (p *Pool) grant(now time.Time, s *tracker.Server, a Ask) {
 	pace, _, _ := s.Pace(now)
 	p.servers.Take(s)
-	p.grants[a.ID] = &grant{server: s, rank: a.Rank, since: now, deadline: a.Deadline, pace: pace, crowded: p.crowds(s)}
+	p.grants[a.ID] = &grant{server: s, rank: a.Rank, since: now, deadline: a.Deadline, pace: pace}
 }
 
 // release ends a grant; r is nil when the result is unknown.
