Read the settings again on SIGHUP

Cause: the default action of SIGHUP ended the process; a settings file may change while an instance runs. Change: SIGHUP reads and checks the settings; seeds and the retry budget take effect, other changes are logged as pending; refused settings leave the old ones.

--- a/cmd/sardinelever/run.go
+++ b/cmd/sardinelever/run.go
@@ -3,10 +3,11 @@
 import (
 	"context"
 	"os"
+	"os/signal"
+	"syscall"
 
 	"github.com/phuslu/log"
 
-	"sardinelever.example/sardinelever/internal/config/parser"
 	"sardinelever.example/sardinelever/internal/instance/runner"
 	"sardinelever.example/sardinelever/internal/operator/logger"
 	"sardinelever.example/sardinelever/platform"
@@ -17,13 +18,9 @@
 }
 
 // Run serves until the process is told to stop by SIGTERM or SIGINT. A second
-// signal ends the process at once.
+// signal ends the process at once. SIGHUP reads the settings again.
 func (c *runCommand) Run(ctx context.Context) error {
-	text, err := os.ReadFile(c.Settings)
-	if err != nil {
-		return err
-	}
-	s, err := parser.ParseSettings(c.Settings, text)
+	s, err := readSettings(c.Settings)
 	if err != nil {
 		return refuse(err)
 	}
@@ -36,6 +33,9 @@
 			return err
 		}
 	}
+	reload := &reloader{path: c.Settings, runner: r, signals: make(chan os.Signal, 1)}
+	signal.Notify(reload.signals, syscall.SIGHUP)
+	go reload.loop()
 	return r.Run(ctx)
 }
 
--- a/internal/fleet/registrar/join.go
+++ b/internal/fleet/registrar/join.go
@@ -49,7 +49,10 @@
 // targets returns whom to ask now: all seeds at first, later one member or seed.
 func (j *joiner) targets(first bool) []netip.AddrPort {
 	r := j.registrar
-	seeds := slices.DeleteFunc(slices.Clone(r.Seeds), func(a netip.AddrPort) bool { return a == r.Peer })
+	r.mu.Lock()
+	seeds := slices.Clone(r.Seeds)
+	r.mu.Unlock()
+	seeds = slices.DeleteFunc(seeds, func(a netip.AddrPort) bool { return a == r.Peer })
 	var alive []netip.AddrPort
 	for _, m := range r.Members() {
 		if !m.Self && m.State == Alive {
--- a/internal/fleet/registrar/registrar.go
+++ b/internal/fleet/registrar/registrar.go
@@ -177,6 +177,14 @@
 	r.update(func(t *Table, now time.Time) { t.Fail(now, peer) })
 }
 
+// SetSeeds replaces the seeds.
+func (r *Registrar) SetSeeds(seeds []netip.AddrPort) {
+	r.once.Do(r.init)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.Seeds = slices.Clone(seeds)
+}
+
 // SetReady sets whether heartbeats say that this instance is ready.
 func (r *Registrar) SetReady(ready bool) { r.announce(func() { r.ready = ready }) }
 
--- a/internal/instance/runner/join.go
+++ b/internal/instance/runner/join.go
@@ -73,7 +73,7 @@
 
 // retryLimit returns this instance's part of the retry budget.
 func (p *parts) retryLimit() retrier.Limit {
-	r := p.settings.Retry
+	r := p.retry.Load()
 	return retrier.Limit{Share: retryShare * r.Ratio, Tokens: max(retryShare*float64(r.Slack)/float64(p.instances()), 1)}
 }
 
--- a/internal/instance/runner/parts.go
+++ b/internal/instance/runner/parts.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/phuslu/log"
@@ -30,6 +31,7 @@
 // parts are the parts of an instance; build sets how they are joined.
 type parts struct {
 	settings    *parser.Settings
+	retry       atomic.Pointer[parser.Retry]
 	platform    *Platform // nil means the product's own formats.
 	log         *log.Logger
 	incarnation uint64
@@ -57,6 +59,7 @@
 // build joins the parts of an instance with settings s, in which every key has a value.
 func build(s *parser.Settings, platform *Platform, l *log.Logger) *parts {
 	p := &parts{settings: s, platform: platform, log: l, incarnation: uint64(time.Now().UnixNano()), registry: prometheus.NewRegistry()}
+	p.retry.Store(&s.Retry)
 	p.meter = meter.Register(p.registry)
 	p.audit.Log = l
 	p.keeper.Audit = &p.audit
--- a/internal/instance/runner/runner.go
+++ b/internal/instance/runner/runner.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"reflect"
 	"sync/atomic"
 	"time"
 
@@ -25,6 +26,7 @@
 
 	ready atomic.Bool
 	addr  atomic.Pointer[netip.AddrPort]
+	parts atomic.Pointer[parts]
 }
 
 const (
@@ -75,6 +77,7 @@
 	r.Log.Info().Str("name", settings.Name).Str("zone", settings.Zone).Str("dialect", settings.Dialect).
 		Int("seeds", len(settings.Seeds)).Msg("instance: starting")
 	p := build(&settings, r.Platform, r.Log)
+	r.parts.Store(p)
 	servers, err := r.listen(p, g)
 	if err != nil {
 		return wrap(err)
@@ -163,6 +166,21 @@
 	}
 }
 
+// Reload takes over the parts of s that may change while the instance runs: the
+// seeds and the retry budget. Other changes are logged and wait for the next start.
+func (r *Runner) Reload(s *parser.Settings) {
+	p := r.parts.Load()
+	if p == nil {
+		return
+	}
+	next := s.WithDefaults()
+	p.members.SetSeeds(next.Seeds)
+	p.retry.Store(&next.Retry)
+	applied := *p.settings
+	applied.Seeds, applied.Retry = next.Seeds, next.Retry
+	r.Log.Info().Bool("pending", !reflect.DeepEqual(applied, next)).Int("seeds", len(next.Seeds)).Msg("instance: settings reloaded")
+}
+
 func (r *Runner) shutdown(p *parts, s *servers) {
 	r.ready.Store(false)
 	p.members.Leave()
--- a/internal/route/granter/fresh.go
+++ b/internal/route/granter/fresh.go
@@ -30,6 +30,10 @@
 	calm = 1.5
 	// slowAge is the age up to which a report of a slow pace is believed.
 	slowAge = 100 * time.Millisecond
+	// paceAge is the age from which a report says nothing: which machines are
+	// slow changes about every 500 ms. A server would otherwise get no work for
+	// long after one slow report.
+	paceAge = 300 * time.Millisecond
 	// neutral is the pace of a server without a report.
 	neutral = 1.0
 )
@@ -86,8 +90,8 @@
 
 // option returns what granting a slot of s costs.
 func (p *Pool) option(now time.Time, s *tracker.Server) option {
-	pace, _, ok := s.Pace(now)
-	if !ok {
+	pace, age, ok := s.Pace(now)
+	if !ok || age > paceAge {
 		pace = neutral
 	}
 	busy := float64(s.InFlight()) + p.servers.Foreign(now, s)
