--- a/internal/call/classifier/classifier_test.go
+++ b/internal/call/classifier/classifier_test.go
@@ -80,3 +80,43 @@
 		}
 	})
 }
+
+// TestRules guards against a call that is routed by a shorter path, by a host
+// or path that no rule names, or for longer than its rule allows.
+func TestRules(t *testing.T) {
+	part := func(name string) []parser.Part { return []parser.Part{{Service: name, Weight: 1}} }
+	m := mapper.Join(&parser.Bundle{
+		Version: 1, Services: []parser.Service{{Name: "a", Slots: 1}, {Name: "b", Slots: 1}},
+		Rules: []parser.Rule{
+			{Host: "h.example", Path: "/x/", Parts: part("a"), Rank: parser.Patient, Deadline: parser.Duration(time.Second), Attempts: 3},
+			{Host: "h.example", Path: "/x/y/", Parts: part("b"), Idempotent: true, Target: parser.Duration(100 * time.Millisecond)},
+		},
+	}, nil)
+	now := time.Now()
+	for _, test := range []struct{ host, path, want string }{
+		{"h.example", "/x/1", "a"},
+		{"h.example:80", "/x/y/1", "b"},
+		{"h.example", "/x", ""},
+		{"other.example", "/x/1", ""},
+		{"other.example", "/a/1", ""},
+	} {
+		r, err := http.NewRequest(http.MethodGet, "http://"+test.host+test.path, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		c, err := classifier.Classify(m, translator.Native{}, r, now)
+		got := ""
+		if err == nil {
+			got = c.Service.Name
+		}
+		if got != test.want || err != nil && !errors.Is(err, classifier.ErrService) {
+			t.Errorf("%s%s: got service %q, %v, want %q", test.host, test.path, got, err, test.want)
+		}
+		if got == "a" && (c.Deadline != now.Add(time.Second) || c.Budget != 2 || c.Rank != parser.Patient || c.Idempotent) {
+			t.Errorf("got %+v, want 1 s, 2 retries, patient and not idempotent", c)
+		}
+		if got == "b" && c.Target != now.Add(100*time.Millisecond) {
+			t.Errorf("got target %v, want 100 ms from now", c.Target.Sub(now))
+		}
+	}
+}
--- a/internal/fleet/registrar/fleet_test.go
+++ b/internal/fleet/registrar/fleet_test.go
@@ -236,3 +236,21 @@
 		})
 	}
 }
+
+// TestSeeds guards against instances that do not find each other when no list
+// names them, also those that start before their seed or after it was lost.
+func TestSeeds(t *testing.T) {
+	first := launch(t, &instance{Registrar: &registrar.Registrar{Name: "i0"}, Period: period})
+	seeds := []netip.AddrPort{first.Peer}
+	all := []*instance{first}
+	for i := 1; i < 6; i++ {
+		all = append(all, launch(t, &instance{Registrar: &registrar.Registrar{Name: fmt.Sprint("i", i), Seeds: seeds}, Period: period}))
+	}
+	for _, x := range all {
+		everywhere(t, all, x.Name, registrar.Alive)
+	}
+	first.Stop()
+	everywhere(t, all[1:], "i0", registrar.Suspect, registrar.Gone)
+	late := launch(t, &instance{Registrar: &registrar.Registrar{Name: "late", Seeds: []netip.AddrPort{first.Peer, all[1].Peer}}, Period: period})
+	everywhere(t, append(all[1:], late), "late", registrar.Alive)
+}
--- a/internal/platform/watcher/feed.go
+++ b/internal/platform/watcher/feed.go
@@ -48,13 +48,13 @@
 }
 
 // message returns what a follower has not been sent yet; last is 0 before the
-// first load.
+// store confirmed the records.
 func (w *Watcher) message(after, sequence uint64) (m *messenger.Feed, last uint64, changed <-chan struct{}) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	at, loaded := w.table.At()
-	if !loaded {
-		return nil, 0, w.changed
+	if !loaded || w.table.Confirmed().IsZero() {
+		return nil, 0, w.changed // A stale first read is for this instance only.
 	}
 	records, last, full := w.table.Since(after, sequence)
 	age := time.Since(w.table.Confirmed())
--- a/internal/platform/watcher/watcher.go
+++ b/internal/platform/watcher/watcher.go
@@ -290,13 +290,14 @@
 func (w *Watcher) take(as time.Time, confirms bool, apply func(now time.Time) []Record) {
 	now := time.Now()
 	w.mu.Lock()
+	first := w.table.Confirmed().IsZero()
 	if confirms {
 		w.table.Confirm(now, as)
 	}
 	changed := apply(now)
 	live := w.table.Live()
 	at, _ := w.table.At()
-	if len(changed) > 0 {
+	if len(changed) > 0 || confirms && first {
 		w.wake()
 	}
 	w.mu.Unlock()
--- /dev/null
+++ b/internal/route/mapper/rule_test.go
@@ -0,0 +1,31 @@
+package mapper_test
+
+import (
+	"testing"
+
+	"sardinelever.example/sardinelever/internal/config/parser"
+	"sardinelever.example/sardinelever/internal/route/mapper"
+)
+
+// TestPick guards against shares of a split service that stray from the
+// weights, in the whole and over any short time.
+func TestPick(t *testing.T) {
+	b := &parser.Bundle{
+		Version:  1,
+		Services: []parser.Service{{Name: "a", Slots: 1}, {Name: "b", Slots: 1}, {Name: "c", Slots: 1}},
+		Rules: []parser.Rule{{Host: "h", Path: "/", Parts: []parser.Part{
+			{Service: "a", Weight: 90}, {Service: "b", Weight: 10}, {Service: "c", Weight: 0},
+		}}},
+	}
+	r := mapper.Join(b, nil).Rules["h"][0]
+	counts := make(map[string]int)
+	for n := 1; n <= 300; n++ {
+		counts[r.Pick().Name]++
+		if want := 0.9 * float64(n); float64(counts["a"]) < want-2 || float64(counts["a"]) > want+2 {
+			t.Fatalf("got %d of %d calls, want %.1f within 2", counts["a"], n, want)
+		}
+	}
+	if counts["c"] != 0 {
+		t.Errorf("got %d calls of weight 0, want 0", counts["c"])
+	}
+}
