Try a failed idempotent call on another backend server

Change: within the attempts of its rule and the retry budget, such a call is sent to another server; the first answer is kept and delivered when the other is no better.

--- a/internal/call/retrier/retrier_test.go
+++ b/internal/call/retrier/retrier_test.go
@@ -204,3 +204,19 @@
 	_, _ = io.WriteString(c.pipe, c.text)
 	_ = c.pipe.Close()
 }
+
+// TestLimit guards against repeats beyond the common budget: in any span there
+// are at most as many as the tokens and the share of the calls.
+func TestLimit(t *testing.T) {
+	r := &retrier.Retrier[int]{Limit: func() retrier.Limit { return retrier.Limit{Share: 0.2, Tokens: 3} }}
+	sends := 0
+	c := &retrier.Call[int]{Service: "s", Idempotent: true, Budget: 5}
+	c.Try = func(context.Context, *retrier.Attempt) (int, error) { sends++; return 0, errRejected }
+	const calls = 100
+	for range calls {
+		_, _ = r.Do(t.Context(), c)
+	}
+	if got, most := sends-calls, 3+calls/5; got > most || got < most-2 {
+		t.Errorf("got %d repeats of %d calls, want at most %d and nearly as many", got, calls, most)
+	}
+}
--- a/internal/call/sender/sender_test.go
+++ b/internal/call/sender/sender_test.go
@@ -18,6 +18,7 @@
 
 	"sardinelever.example/sardinelever/internal/call/classifier"
 	"sardinelever.example/sardinelever/internal/call/sender"
+	"sardinelever.example/sardinelever/internal/call/translator"
 	"sardinelever.example/sardinelever/internal/config/parser"
 	"sardinelever.example/sardinelever/internal/route/mapper"
 )
@@ -273,3 +274,40 @@
 		t.Error("got no bytes after they were given back")
 	}
 }
+
+// strict is a dialect in which each answer names its call and a 503 needs a proof.
+type strict struct{ translator.Native }
+
+func (strict) Signals(status int, h http.Header) translator.Signals {
+	return translator.Signals{
+		Busy: -1, ID: h.Get("Id"), Moved: status == http.StatusMisdirectedRequest,
+		Refused: h.Get("Proof") != "", Unproven: status == http.StatusServiceUnavailable && h.Get("Proof") == "",
+	}
+}
+
+// TestForeign guards against the answer of another call, which a backend server
+// sent late or twice, and against a refusal without proof that is taken for one.
+func TestForeign(t *testing.T) {
+	for _, test := range []struct {
+		name, head string
+		want       sender.Outcome
+		reason     string
+	}{
+		{"own", "200 OK\r\nId: mine", sender.Rejected, ""},
+		{"another", "200 OK\r\nId: other", sender.Unknown, "foreign"},
+		{"refused", "503 X\r\nProof: 1", sender.Rejected, "refused"},
+		{"unproven", "503 X\r\nId: mine", sender.Unknown, "unproven"},
+		{"moved", "421 X", sender.Rejected, "moved"},
+	} {
+		b := start(t, func(c net.Conn, _ *http.Request, _, _ int) bool {
+			return write(c, "HTTP/1.1 "+test.head+"\r\nContent-Length: 0\r\n\r\n")
+		})
+		o := order(b, http.MethodPost, "", false)
+		o.Call.ID = "mine"
+		_, err := (&sender.Sender{Dialect: strict{}}).Send(t.Context(), o)
+		var f *sender.Failure
+		if errors.As(err, &f) != (test.reason != "") || f != nil && (f.Outcome != test.want || f.Reason != test.reason) {
+			t.Errorf("%s: got %v, want %v %q", test.name, err, test.want, test.reason)
+		}
+	}
+}
--- a/internal/instance/runner/attempt.go
+++ b/internal/instance/runner/attempt.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"net/netip"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -25,6 +26,7 @@
 	body  *retrier.Body
 	hedge bool // Two attempts may run at a time.
 	trace trace
+	spare atomic.Pointer[answer] // Answer of a failed run that a further attempt may better.
 }
 
 // replay reports whether another attempt can send the same body. The trailers
@@ -69,7 +71,16 @@
 	t.trace.sent(a.Number, slot, name, time.Since(o.Sent), resp, err)
 	result := t.measure(resp, err, time.Since(o.Sent))
 	if err == nil {
-		return &answer{resp: resp, slot: slot, result: result}, nil
+		found := &answer{resp: resp, slot: slot, result: result}
+		if !t.betters(a, resp) {
+			return found, nil
+		}
+		slot.Release(result)
+		found.slot = nil
+		if before := t.spare.Swap(found); before != nil {
+			before.drop()
+		}
+		return nil, &sender.Failure{Outcome: sender.Failed, Reason: "status", Err: errors.Errorf("backend server %s answered %d", name, resp.StatusCode)}
 	}
 	if resp != nil {
 		_ = resp.Body.Close()
@@ -78,6 +89,12 @@
 	return nil, err
 }
 
+// betters reports whether another attempt may have a better answer than resp: a
+// backend server fails calls while others serve them.
+func (t *attempts) betters(a *retrier.Attempt, resp *http.Response) bool {
+	return t.call.Rule != nil && t.call.Idempotent && a.Budget > 0 && resp.StatusCode >= http.StatusInternalServerError && t.replay()
+}
+
 // attempted counts an attempt that waited for its slot.
 func (t *attempts) attempted(number int, wait time.Duration) {
 	if t.meter == nil {
@@ -100,7 +117,11 @@
 	result asker.Result
 }
 
-func (a *answer) release() { a.slot.Release(a.result) }
+func (a *answer) release() {
+	if a.slot != nil {
+		a.slot.Release(a.result)
+	}
+}
 
 // drop cancels the call at the backend server by closing its connection.
 func (a *answer) drop() {
--- a/internal/instance/runner/pipe.go
+++ b/internal/instance/runner/pipe.go
@@ -125,6 +125,13 @@
 	t := &attempts{pipe: p, guard: g, w: w, r: r, call: c, body: body}
 	a, err := p.retrier.Do(ctx, p.order(t))
 	g.Answer()
+	if spare := t.spare.Load(); spare != nil {
+		if err != nil {
+			a, err = spare, nil
+		} else {
+			spare.drop()
+		}
+	}
 	if err != nil {
 		report := p.reportOf(ctx, err)
 		p.answer.Report(w, report)
