Enforce the limits of the configuration on callers' connections

Cause: of the limits in a bundle only the body's was enforced, and the setting memory had no effect. Change: header size, header time and idle time are those of the configuration when the callers' listener starts, which waits up to 300 ms for it; the runtime keeps below 70% of the setting memory; checks for the new keys. Limits that change later take effect at the next start, but for the body's.

--- a/cmd/sardinelever/run.go
+++ b/cmd/sardinelever/run.go
@@ -4,6 +4,7 @@
 	"context"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 
 	"github.com/phuslu/log"
@@ -17,6 +18,10 @@
 	Settings string `arg:"" help:"TOML settings file of the instance."`
 }
 
+// memoryShare is the part of the setting memory above which the runtime collects
+// garbage without pause; the rest holds buffers of the kernel and stacks.
+const memoryShare = 0.7
+
 // Run serves until the process is told to stop by SIGTERM or SIGINT. A second
 // signal ends the process at once. SIGHUP reads the settings again.
 func (c *runCommand) Run(ctx context.Context) error {
@@ -27,6 +32,9 @@
 	// Parts without a Log of their own write to the default one.
 	log.DefaultLogger.SetLevel(log.ParseLevel(s.Level))
 	log.DefaultLogger.Writer = &log.IOWriter{Writer: &logger.Writer{Out: os.Stdout}}
+	if s.Memory > 0 {
+		debug.SetMemoryLimit(int64(memoryShare * float64(s.Memory) * (1 << 20)))
+	}
 	r := &runner.Runner{Settings: s}
 	if s.Dialect == "cymdeithas" {
 		if r.Platform, err = platform.New(s); err != nil {
--- a/internal/config/parser/check_service.go
+++ b/internal/config/parser/check_service.go
@@ -27,6 +27,10 @@
 		c.service(prefix, &b.Services[i])
 		c.unique(prefix, &b.Services[i], u)
 	}
+	number(c, "limits.header", b.Limits.Header, 1, math.MaxInt)
+	number(c, "limits.body", b.Limits.Body, 1, math.MaxInt)
+	number(c, "limits.read", b.Limits.Read, Duration(time.Millisecond), Duration(time.Hour))
+	number(c, "limits.idle", b.Limits.Idle, Duration(time.Millisecond), Duration(maxDeadline))
 	c.rules(b)
 }
 
@@ -133,6 +137,7 @@
 	number(c, join(at, "cost"), p.Cost, least, most)
 	number(c, join(at, "budget"), p.Budget, least, most)
 	number(c, join(at, "total"), p.Total, least, Duration(time.Hour))
+	number(c, join(at, "fresh"), p.Fresh, least, most)
 	number(c, join(at, "period"), p.Period, Duration(spacing), Duration(time.Hour))
 	if c.wrong[join(at, "cost")] {
 		return
--- a/internal/instance/runner/runner.go
+++ b/internal/instance/runner/runner.go
@@ -132,10 +132,32 @@
 		_ = s.operator.Close()
 		return nil, errors.Wrap(err, "peers' listener")
 	}
-	g.Go(serve(s.callers, l))
+	g.Go(func() error { return r.serveCallers(p, s.callers, l) })
 	return s, nil
 }
 
+// startWait is the time for which the first calls of an instance wait for its
+// configuration, which takes milliseconds to read, in place of being refused.
+const startWait = 300 * time.Millisecond
+
+// serveCallers serves the callers' listener with the limits of the configuration.
+func (r *Runner) serveCallers(p *parts, s *http.Server, l net.Listener) error {
+	if p.platform != nil {
+		ctx, cancel := context.WithTimeout(context.Background(), startWait)
+		p.await(ctx)
+		cancel()
+		limits := p.maps.Load().Limits
+		s.IdleTimeout = limits.Idle.Std()
+		if d := limits.Read.Std(); d > 0 {
+			s.ReadHeaderTimeout = d
+		}
+		if limits.Header > 0 {
+			s.MaxHeaderBytes = limits.Header
+		}
+	}
+	return serve(s, l)()
+}
+
 func newServer(h http.Handler) *http.Server {
 	s := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeader, Protocols: new(http.Protocols)}
 	s.Protocols.SetHTTP1(true)
