--- a/cmd/sardinelever/docs_test.go
+++ b/cmd/sardinelever/docs_test.go
@@ -80,22 +80,24 @@
 
 // sources returns the code of the program without stand-ins and load tests.
 func sources(t *testing.T) (texts []string) {
-	err := filepath.WalkDir("../../internal", func(path string, d fs.DirEntry, err error) error {
-		if err != nil {
+	for _, root := range []string{"../../internal", "../../platform", "."} {
+		err := filepath.WalkDir(root, func(path string, d fs.DirEntry, err error) error {
+			if err != nil {
+				return err
+			}
+			if name := d.Name(); d.IsDir() && (name == "standin" || name == "load") {
+				return filepath.SkipDir
+			}
+			if !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") {
+				return nil
+			}
+			text, err := os.ReadFile(path)
+			texts = append(texts, string(text))
 			return err
+		})
+		if err != nil {
+			t.Fatal(err)
 		}
-		if name := d.Name(); d.IsDir() && (name == "standin" || name == "load") {
-			return filepath.SkipDir
-		}
-		if !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") {
-			return nil
-		}
-		text, err := os.ReadFile(path)
-		texts = append(texts, string(text))
-		return err
-	})
-	if err != nil {
-		t.Fatal(err)
 	}
 	return texts
 }
