Judge the refusal of a version by the version, and the policy scenario by the bound

Change: the version stays the reason; the scenario's target is 1.05 of the central queue's bound in place of 1.5 and half of the best baseline.

--- a/internal/fleet/linker/session.go
+++ b/internal/fleet/linker/session.go
@@ -144,7 +144,11 @@
 		s.from, err = parseHello(m)
 	}
 	if err == nil && !first {
-		err = messenger.Write(st, own.message())
+		// A peer that refuses this version may end the session before the write
+		// returns; the version then stays the reason.
+		if err = messenger.Write(st, own.message()); s.from.Version != l.Version {
+			err = nil
+		}
 	}
 	switch {
 	case err == nil:
--- a/internal/load/scenarist/policy.go
+++ b/internal/load/scenarist/policy.go
@@ -17,8 +17,7 @@
 	slowMean     = 300 * time.Millisecond
 	slowRest     = 8 * time.Second
 	workerQueue  = 64 // Calls that wait at one backend server, so that the baselines need not shed.
-	boundFactor  = 1.5
-	baseFraction = 0.5
+	boundFactor  = 1.05
 )
 
 // policy drives the same calls and slowdowns with each policy.
@@ -57,7 +56,7 @@
 	if grant := p99["grant"]; grant > 0 {
 		t.target(float64(grant) <= boundFactor*float64(bound), "urgent p99 %v is %.2f times the bound %v, target %v", grant, float64(grant)/float64(bound), bound, boundFactor)
 		if best != "" {
-			t.target(float64(grant) < baseFraction*float64(p99[best]), "urgent p99 %v is %.2f times that of the best baseline %s (%v), target under %v", grant, float64(grant)/float64(p99[best]), best, p99[best], baseFraction)
+			t.printf("  urgent p99 is %.2f times that of the best baseline %s\n", float64(grant)/float64(p99[best]), best)
 		}
 	} else {
 		t.count(true, "urgent p99 of the baseline %s is %v, bound %v", best, p99[best], bound)
