Publish the changes of both sources in their order

Cause: found by reading: when both sources of an instance brought changes at once, the later one could publish first, and the earlier one was then passed over with the bundle it carried. Change: applying and publishing are one step under one lock.

--- a/internal/instance/runner/parts.go
+++ b/internal/instance/runner/parts.go
@@ -74,7 +74,7 @@
 func (p *parts) buildPlatform() {
 	if p.platform != nil {
 		p.records = watcher.Watcher{
-			Store: p.platform.Store, Decoder: p.platform.Decoder, Name: p.settings.Name, Zone: p.settings.Zone, Region: p.settings.Region,
+			Store: p.platform.Store, Decoder: p.platform.Decoder, Name: p.settings.Name, Region: p.settings.Region,
 			Fleet: &p.members, Links: &p.linker, Keeper: &p.keeper, Update: p.relist, Audit: &p.audit, Log: p.log,
 		}
 		return
--- a/internal/load/scenarist/policy.go
+++ b/internal/load/scenarist/policy.go
@@ -10,14 +10,14 @@
 )
 
 const (
-	policyTime   = 9 * time.Second
-	policyWarm   = time.Second
-	policyShare  = 0.8
-	slowFactor   = 5
-	slowMean     = 300 * time.Millisecond
-	slowRest     = 8 * time.Second
-	workerQueue  = 64 // Calls that wait at one backend server, so that the baselines need not shed.
-	boundFactor  = 1.05
+	policyTime  = 9 * time.Second
+	policyWarm  = time.Second
+	policyShare = 0.8
+	slowFactor  = 5
+	slowMean    = 300 * time.Millisecond
+	slowRest    = 8 * time.Second
+	workerQueue = 64 // Calls that wait at one backend server, so that the baselines need not shed.
+	boundFactor = 1.05
 )
 
 // policy drives the same calls and slowdowns with each policy.
--- a/internal/platform/watcher/feed.go
+++ b/internal/platform/watcher/feed.go
@@ -28,7 +28,6 @@
 	t := time.NewTicker(beat)
 	defer t.Stop()
 	for {
-		w.asked.Store(time.Now().UnixNano())
 		m, last, changed := w.message(after, sequence)
 		if last > 0 {
 			_ = conn.SetWriteDeadline(time.Now().Add(patience))
--- a/internal/platform/watcher/watcher.go
+++ b/internal/platform/watcher/watcher.go
@@ -33,27 +33,27 @@
 // Watcher follows the platform's records. It handles the linker's streams of
 // kind Feed. The exported fields are set before Run.
 type Watcher struct {
-	Store        Store
-	Decoder      Decoder
-	Name         string // Name of this instance.
-	Zone, Region string
-	Fleet        Fleet
-	Links        Links
-	Keeper       reader.Offerer
-	Update       func(*reader.List) // Update is called with each changed list; it must not block.
-	Audit        *auditor.Auditor
-	Log          *log.Logger // nil means log.DefaultLogger.
+	Store   Store
+	Decoder Decoder
+	Name    string // Name of this instance.
+	Region  string
+	Fleet   Fleet
+	Links   Links
+	Keeper  reader.Offerer
+	Update  func(*reader.List) // Update is called with each changed list; it must not block.
+	Audit   *auditor.Auditor
+	Log     *log.Logger // nil means log.DefaultLogger.
 
 	mu      sync.Mutex
 	table   Table
 	changed chan struct{} // Closed and replaced at each change.
 	avoid   map[string]time.Time
 
-	publishing sync.Mutex // Serializes publish.
-	published  uint64     // Revision of the last published list.
+	// taking serializes take, so that the lists and bundles of both lanes are
+	// published in the order of their changes and none is passed over.
+	taking sync.Mutex
 
 	list    atomic.Pointer[reader.List]
-	asked   atomic.Int64 // Time of the last subscription, Unix nanoseconds.
 	calls   atomic.Int64
 	failing atomic.Bool
 	decoded map[string]decoded // Entries by key.
@@ -288,6 +288,8 @@
 
 // take applies a change of the table and publishes what follows from it.
 func (w *Watcher) take(as time.Time, confirms bool, apply func(now time.Time) []Record) {
+	w.taking.Lock()
+	defer w.taking.Unlock()
 	now := time.Now()
 	w.mu.Lock()
 	first := w.table.Confirmed().IsZero()
@@ -321,14 +323,8 @@
 	}
 }
 
-// publish offers changed bundles and builds the list of backend servers.
+// publish offers changed bundles and builds the list of backend servers; w.taking is held.
 func (w *Watcher) publish(at uint64, live, changed []Record) {
-	w.publishing.Lock()
-	defer w.publishing.Unlock()
-	if w.published > at {
-		return // The other lane has published later records, these included.
-	}
-	w.published = at
 	list := &reader.List{Time: time.Now(), Entries: w.entries(live)}
 	for _, r := range changed {
 		if r.Deleted {
--- a/internal/platform/watcher/watcher_test.go
+++ b/internal/platform/watcher/watcher_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"net/netip"
 	"strings"
@@ -129,7 +130,7 @@
 	if r.Key != "config" {
 		return nil, nil
 	}
-	return r.Value, nil
+	return fmt.Appendf(nil, "%s %d", r.Value, r.Revision), nil
 }
 
 func (decoder) Entry(r watcher.Record) (reader.Entry, bool, error) {
@@ -143,17 +144,24 @@
 
 // offers keeps the last offered text.
 type offers struct {
-	mu   sync.Mutex
-	text string
+	mu       sync.Mutex
+	text     string
+	revision uint64
 }
 
 func (o *offers) Offer(text []byte, _ string) (bool, error) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.text = string(text)
+	_, _ = fmt.Sscan(string(text), &o.text, &o.revision)
 	return true, nil
 }
 
+func (o *offers) newest() uint64 {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.revision
+}
+
 func (o *offers) last() string {
 	o.mu.Lock()
 	defer o.mu.Unlock()
@@ -305,3 +313,29 @@
 	defer cancel()
 	eventually(t, "records of another instance", func() bool { return late.List() != nil && len(late.List().Entries) == 1 })
 }
+
+// TestBundles guards against a bundle that is passed over because another
+// change is read at the same time from the other source.
+func TestBundles(t *testing.T) {
+	s := newStore()
+	s.put("config", false)
+	f := newFleet(t, s, 4)
+	f.everywhere(t, "first records", 0)
+	for i := range 40 {
+		name := "s/" + strings.Repeat("x", i+1)
+		s.put(name, false)
+		s.put("config", false)
+	}
+	f.everywhere(t, "all records", 40)
+	s.mu.Lock()
+	want := s.records["config"].Revision
+	s.mu.Unlock()
+	eventually(t, "the last bundle", func() bool {
+		for _, o := range f.offers {
+			if o.newest() != want {
+				return false
+			}
+		}
+		return true
+	})
+}
