Wait for an idle connection in the test of repeats

Its stand-in refuses only the first call on a connection, so the call had got a new one: the connection of the call before was not idle yet, which happens when its reader asks for more bytes. Change: the test waits for that, as TestSilent does; the check is the same. Conclusion: the test was wrong, not the sender.

--- a/internal/call/sender/silence_test.go
+++ b/internal/call/sender/silence_test.go
@@ -95,6 +95,9 @@
 		}
 		resp, err := s.Send(t.Context(), order(b, http.MethodGet, "", true))
 		read(t, resp, err)
+		for s.Active(b.addr(), 0) {
+			time.Sleep(time.Millisecond) // Until the connection is idle; else the next call gets a new one.
+		}
 		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
 		resp, err = s.Send(ctx, repeatable(b))
 		if resp != nil {
