Avoid a source longer each time it fails, and keep the lanes apart

Change: the avoidance of a source doubles up to 24 s with each failure; the lanes use different members of the first two and keep theirs while it is among them.

--- a/internal/platform/watcher/feed.go
+++ b/internal/platform/watcher/feed.go
@@ -74,13 +74,18 @@
 // follow takes the records of another instance until it is silent, has no
 // contact to the store or another source comes first.
 func (l *lane) follow(ctx context.Context, m registrar.Member) {
-	w := l.Watcher
+	w, start := l.Watcher, time.Now()
 	err := l.read(ctx, m)
 	if err == nil || ctx.Err() != nil {
 		return
 	}
 	w.mu.Lock()
-	w.avoid[m.Name] = time.Now().Add(avoidTime)
+	now, last := time.Now(), w.avoid[m.Name].delay
+	if now.Sub(start) >= steady {
+		last = 0
+	}
+	delay := min(max(leastAvoid, 2*last), mostAvoid)
+	w.avoid[m.Name] = avoidance{now.Add(delay), delay}
 	w.mu.Unlock()
 	w.Log.Warn().Str("instance", m.Name).Err(err).Uint64("revision", w.At()).Msg("platform: records are no longer followed there")
 }
--- a/internal/platform/watcher/watcher.go
+++ b/internal/platform/watcher/watcher.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"net"
 	"net/netip"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -46,8 +47,9 @@
 
 	mu      sync.Mutex
 	table   Table
-	changed chan struct{} // Closed and replaced at each change.
-	avoid   map[string]time.Time
+	changed chan struct{}        // Closed and replaced at each change.
+	avoid   map[string]avoidance // By name of the instance.
+	using   [lanesCount]string   // Name of the source of each lane.
 
 	// taking serializes take, so that the lists and bundles of both lanes are
 	// published in the order of their changes and none is passed over.
@@ -62,6 +64,12 @@
 	delay   time.Duration
 }
 
+// avoidance says how long a source that failed is not followed.
+type avoidance struct {
+	until time.Time
+	delay time.Duration
+}
+
 // decoded is the backend server of a record of some revision.
 type decoded struct {
 	revision uint64
@@ -91,8 +99,12 @@
 	stale = watchWait + watchGrace + 200*time.Millisecond
 	// openTimeout bounds the opening of a feed.
 	openTimeout = 300 * time.Millisecond
-	// avoidTime is the time for which a source that failed is not asked again.
-	avoidTime = 3 * time.Second
+	// leastAvoid is the time for which a source that failed is not followed. It
+	// doubles up to mostAvoid with each further failure of a source that did not
+	// last for steady in between: the store may turn an instance away for long.
+	leastAvoid = 3 * time.Second
+	mostAvoid  = 24 * time.Second
+	steady     = 5 * time.Second
 	// leastDelay and mostDelay bound the delay after failed calls to the store.
 	leastDelay = 100 * time.Millisecond
 	mostDelay  = 2 * time.Second
@@ -145,7 +157,7 @@
 		if w.Log == nil {
 			w.Log = &log.DefaultLogger
 		}
-		w.changed, w.avoid = make(chan struct{}), make(map[string]time.Time)
+		w.changed, w.avoid = make(chan struct{}), make(map[string]avoidance)
 		w.decoded, w.bad = make(map[string]decoded), make(map[string]bool)
 	}
 }
@@ -154,7 +166,7 @@
 // those of the store while one source is lost or cut off from the store.
 type lane struct {
 	*Watcher
-	place int // Place of the source among those that can be used.
+	place int // 0 or 1.
 }
 
 func (l *lane) run(ctx context.Context, done *sync.WaitGroup) {
@@ -194,8 +206,8 @@
 }
 
 // source returns the instance to follow, or self when this instance is to read
-// the store: the members of the region in rendezvous order, those that failed
-// lately left out, give one source to each lane.
+// the store. The sources of all lanes are the first members of the region in
+// rendezvous order, those that failed lately left out; no two lanes use the same.
 func (l *lane) source(now time.Time) (m *registrar.Member, self bool) {
 	members := l.Fleet.Usable("", l.Region)
 	l.mu.Lock()
@@ -203,7 +215,7 @@
 	names := make([]string, 0, len(members)+1)
 	for i := range members {
 		n := members[i].Name
-		if n != l.Name && !now.Before(l.avoid[n]) {
+		if n != l.Name && !now.Before(l.avoid[n].until) {
 			names = append(names, n)
 		}
 	}
@@ -211,10 +223,18 @@
 		names = append(names, l.Name)
 	}
 	names = placer.Order("records", names)
-	if l.place >= len(names) {
+	names = slices.DeleteFunc(names[:min(lanesCount, len(names))], func(n string) bool {
+		return n == l.using[lanesCount-1-l.place]
+	})
+	if len(names) == 0 {
+		l.using[l.place] = ""
 		return nil, false
 	}
-	name := names[l.place]
+	name := names[0]
+	if slices.Contains(names, l.using[l.place]) {
+		name = l.using[l.place]
+	}
+	l.using[l.place] = name
 	if name == l.Name {
 		return nil, true
 	}
--- a/internal/platform/watcher/watcher_test.go
+++ b/internal/platform/watcher/watcher_test.go
@@ -339,3 +339,20 @@
 		return true
 	})
 }
+
+// TestRefusedLong guards against an instance that goes back again and again to
+// a source that the store turns away for long, and against two lanes with one source.
+func TestRefusedLong(t *testing.T) {
+	s := newStore()
+	s.put("s/one", false)
+	f := newFleet(t, s, 6)
+	f.everywhere(t, "first records", 1)
+	for i := range 3 {
+		f.views[i].cut(true)
+	}
+	end := time.Now().Add(4 * time.Second) // Longer than the first time for which a source is avoided.
+	for n := 2; time.Now().Before(end); n++ {
+		s.put("s/"+strings.Repeat("x", n+10), false)
+		f.everywhere(t, "a change while half of the instances are turned away", n)
+	}
+}
