--- a/internal/config/parser/settings.go
+++ b/internal/config/parser/settings.go
@@ -32,7 +32,7 @@
 type Retry struct {
 	Ratio  float64  `toml:"ratio,omitempty"`  // 0 means 0.20.
 	Slack  int      `toml:"slack,omitempty"`  // 0 means 10 for each instance.
-	Window Duration `toml:"window,omitempty"` // 0 means 10s.
+	Window Duration `toml:"window,omitempty"` // 0 means 10s; the bound that instances keep holds for windows of any length.
 }
 
 // TLS names the key files for links between instances.
--- a/internal/platform/watcher/feed.go
+++ b/internal/platform/watcher/feed.go
@@ -4,7 +4,6 @@
 	"bufio"
 	"context"
 	"net"
-	"strconv"
 	"time"
 
 	"github.com/pkg/errors"
@@ -14,8 +13,6 @@
 	"sardinelever.example/sardinelever/internal/fleet/registrar"
 )
 
-func formatRevision(r uint64) string { return strconv.FormatUint(r, 10) }
-
 // Serve sends the records and their changes to a follower until the stream ends.
 func (w *Watcher) Serve(_ linker.Hello, conn net.Conn) {
 	w.setup()
--- a/internal/platform/watcher/watcher.go
+++ b/internal/platform/watcher/watcher.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"net"
 	"net/netip"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -341,6 +342,6 @@
 
 func (w *Watcher) note(key, after string, revision uint64) {
 	w.Audit.Note(auditor.Change{
-		Part: "platform", Subject: key, Cause: "record of revision " + formatRevision(revision), Before: "-", After: after,
+		Part: "platform", Subject: key, Cause: "record of revision " + strconv.FormatUint(revision, 10), Before: "-", After: after,
 	})
 }
