Order a flood by work and refuse in it early

The work of one (81 ms) was estimated by the mean of both (190 ms), so 1,470 of 2,525 were refused as late; calls of a third route were refused after 566 ms of a target of 800. After a restart of all nothing was known of the work: calls went to servers at pace 7 and were taken with 17 ms left, and the servers that cut them off were ejected. Change: work is learned for each route; under overload the shorter work goes first, then the newest; an ask waits beside others for a quarter of the time that it has to spare; a third of the target is assumed for work that is not known; a call that its own deadline cut short is no failure of the server; calls of other homes are taken off the room of a server. Dropped: the age of a call from the time that its caller says it has left. Callers state up to 15% less than their limit in their first attempt, so a caller that comes back cannot be told from one that begins; and to put those last would have starved who was refused once.

--- a/internal/call/classifier/call.go
+++ b/internal/call/classifier/call.go
@@ -11,10 +11,11 @@
 type Call struct {
 	Service    *mapper.Service
 	Rule       *mapper.Rule // nil when a route of the service decides.
+	Route      string       // Name of the rule or path of the route; empty when none matches.
 	Rank       parser.Rank
 	Idempotent bool
 	Deadline   time.Time
-	Target     time.Time // Time until which an answer is worth most.
+	Target     time.Time // Time until which an answer is worth most; may be after the deadline.
 	Depth      int       // Levels of calls above this one.
 	Budget     int       // Retries that this call and all calls below it may still use.
 	Attempt    int       // The caller's number of this attempt, from 1.
--- a/internal/call/classifier/classifier.go
+++ b/internal/call/classifier/classifier.go
@@ -45,7 +45,7 @@
 	}
 	c.hints(h, now, deadline)
 	c.Target = c.Deadline
-	if c.Rule != nil && now.Add(c.Rule.Target.Std()).Before(c.Deadline) {
+	if c.Rule != nil {
 		c.Target = now.Add(c.Rule.Target.Std())
 	}
 	return c, nil
@@ -58,7 +58,7 @@
 		for _, u := range m.Rules[hostOf(r)] {
 			if strings.HasPrefix(r.URL.Path, u.Path) {
 				return &Call{
-					Service: u.Pick(), Rule: u, Rank: u.Rank, Idempotent: u.Idempotent,
+					Service: u.Pick(), Rule: u, Route: u.Name, Rank: u.Rank, Idempotent: u.Idempotent,
 					Budget: u.Attempts - 1, Path: r.URL.Path,
 				}, u.Deadline.Std()
 			}
@@ -101,7 +101,7 @@
 		if !strings.HasPrefix(c.Path, t.Path) || len(t.Methods) > 0 && !slices.Contains(t.Methods, r.Method) {
 			continue
 		}
-		c.Rank, c.Idempotent = t.Rank, t.Idempotent
+		c.Route, c.Rank, c.Idempotent = t.Path, t.Rank, t.Idempotent
 		if t.Deadline != 0 {
 			deadline = t.Deadline.Std()
 		}
--- a/internal/route/asker/asker.go
+++ b/internal/route/asker/asker.go
@@ -20,6 +20,7 @@
 type Need struct {
 	Service  string
 	Rank     parser.Rank
+	Route    string // Calls of one route take about the same time; may be empty.
 	Deadline time.Time
 	Target   time.Time        // Time until which an answer is worth most; zero means the deadline.
 	Avoid    []netip.AddrPort // Backend servers that earlier attempts of the call used.
--- a/internal/route/asker/home.go
+++ b/internal/route/asker/home.go
@@ -39,7 +39,7 @@
 
 func (l *local) ask(p *part) bool {
 	n := &p.ask.need
-	l.granter.Ask(p.pool.key, granter.Ask{ID: p.id(), Rank: n.Rank, Deadline: n.Deadline, Target: n.Target, Avoid: n.Avoid})
+	l.granter.Ask(p.pool.key, granter.Ask{ID: p.id(), Rank: n.Rank, Route: n.Route, Deadline: n.Deadline, Target: n.Target, Avoid: n.Avoid})
 	return true
 }
 
--- a/internal/route/asker/message.go
+++ b/internal/route/asker/message.go
@@ -20,7 +20,7 @@
 	n := &p.ask.need
 	m := &messenger.Ask{
 		Number: p.number, Pool: encodePool(p.pool.key), Rank: uint32(n.Rank), Left: int64(time.Until(n.Deadline)),
-		Target: int64(time.Until(n.Target)),
+		Target: int64(time.Until(n.Target)), Route: n.Route,
 	}
 	for _, addr := range n.Avoid {
 		b, _ := addr.MarshalBinary() // Never fails.
--- a/internal/route/granter/admit.go
+++ b/internal/route/granter/admit.go
@@ -8,14 +8,27 @@
 )
 
 // Under a flood, calls that can no longer meet their target keep slots from
-// those that can. So an ask is refused as soon as it misses its target while
-// others wait, and its caller hears it while it can still come back in time.
-// Refusing on arrival, by the expected wait, was worse: the pace of the servers
-// changes faster than the estimate.
+// those that can. So an ask is refused while others wait as soon as it is
+// unlikely to meet its target, and its caller hears it while it can still come
+// back in time. An estimate of the wait on arrival does not serve for that: the
+// pace of the servers changes faster.
 const (
 	// shortest is the share of the expected work below which a call hardly ever
 	// ends: work is spread by about a third.
 	shortest = 0.5
+	// guessShare is the share of its target that a call is assumed to work while
+	// none of its kind has ended: targets are set to a small multiple of the work.
+	guessShare = 1.0 / 3
+	// hurry is the multiple of the expected work up to which a call that ended
+	// by its deadline says nothing about its server.
+	hurry = 2
+	// patienceShare is the share of the time to spare before its target for which
+	// an ask waits beside others: under overload the newest are served first, so
+	// few are served after that, and their callers should hear it early.
+	patienceShare = 0.25
+	// latePatience is the wait of an ask that misses its target in any case:
+	// about that for the next free slot of a pool that is not overloaded.
+	latePatience = 50 * time.Millisecond
 	// leastPace bounds the weight of a server whose pace is unknown.
 	leastPace = 1.0
 )
@@ -81,10 +94,24 @@
 	if p.hopeless(now, w.Ask) {
 		return true
 	}
-	return now.Add(p.workOf(w.Ask)).After(w.Target) && p.queues[w.Rank].len() > 1
+	if p.queues[w.Rank].len() < 2 {
+		return false
+	}
+	return now.Sub(w.since) > p.patience(w)
 }
 
 // hopeless reports whether no server can end the call before its deadline.
 func (p *Pool) hopeless(now time.Time, a Ask) bool {
 	return now.Add(time.Duration(shortest * float64(p.workOf(a)))).After(a.Deadline)
 }
+
+// patience returns how long w may wait beside others: a share of the time that
+// it has to spare before its target, so that a caller that is refused can still
+// come back in time.
+func (p *Pool) patience(w *waiting) time.Duration {
+	spare := w.Target.Sub(w.since) - p.workOf(w.Ask)
+	if spare <= 0 {
+		return latePatience
+	}
+	return time.Duration(patienceShare * float64(spare))
+}
--- a/internal/route/granter/ask.go
+++ b/internal/route/granter/ask.go
@@ -30,9 +30,12 @@
 type Ask struct {
 	ID
 	Rank     parser.Rank
+	Route    string // Calls of one route take about the same time; may be empty.
 	Deadline time.Time
 	Target   time.Time        // Time until which an answer is worth most; zero means the deadline.
 	Avoid    []netip.AddrPort // Backend servers that the call must not use.
+
+	guess time.Duration // Work that is assumed while none of its kind has ended.
 }
 
 // Kind says what a Reply means.
--- a/internal/route/granter/crowd.go
+++ b/internal/route/granter/crowd.go
@@ -35,14 +35,21 @@
 	return min(s.Limit(), int(math.Floor(p.config.Fill*float64(slotsOf(s)))))
 }
 
-// room returns the calls that may be granted to s now.
+// room returns the calls that may be granted to s now. A server may have calls
+// that this pool does not count: of instances that were lost, or of a second home
+// after a start or in a partition. A fresh load report tells how many.
 func (p *Pool) room(now time.Time, s *tracker.Server) int {
-	return max(s.Free(now)-(s.Limit()-p.most(s)), 0)
+	room := s.Free(now) - (s.Limit() - p.most(s))
+	if foreign, age, ok := s.Reported(now); ok && age <= p.config.Probe.Fresh.Std() {
+		room -= foreign
+	}
+	return max(room, 0)
 }
 
 // worked takes in the time for which a call held its slot.
 func (p *Pool) worked(g *grant, held float64) {
 	if g.pace > 0 {
 		p.queues[g.rank].worked(held / g.pace)
+		p.works.learn(g.route, held/g.pace)
 	}
 }
--- a/internal/route/granter/fresh.go
+++ b/internal/route/granter/fresh.go
@@ -151,10 +151,13 @@
 
 // workOf returns the expected work of a call at the usual pace.
 func (p *Pool) workOf(a Ask) time.Duration {
+	if work, ok := p.works.of(a.Route); ok {
+		return work
+	}
 	if work := p.queues[a.Rank].work; work > 0 {
 		return time.Duration(work)
 	}
-	return 0
+	return a.guess
 }
 
 // sampling reports whether a probe is under way for which asks wait.
--- a/internal/route/granter/fresh_test.go
+++ b/internal/route/granter/fresh_test.go
@@ -38,6 +38,27 @@
 	probes, onTime, late, refused int
 	longest                       time.Duration // Longest wait of a refused ask.
 	granted                       map[netip.AddrPort]int
+
+	shapes  map[uint64]shape       // Of asks that are not like noise.
+	foreign map[netip.AddrPort]int // Calls at a server that the pool did not grant.
+	running map[netip.AddrPort]int // Calls at a server that the pool granted.
+	kinds   map[string]*[2]int     // Calls on time and all, by route.
+}
+
+// shape is a kind of calls.
+type shape struct {
+	route               string
+	work, target, limit time.Duration
+}
+
+// noise is the shape of the calls of most tests.
+var noise = shape{"", noiseWork, noiseTarget, noiseLimit}
+
+func (r *replay) shape(number uint64) shape {
+	if s, ok := r.shapes[number]; ok {
+		return s
+	}
+	return noise
 }
 
 func addr(i int) netip.AddrPort {
@@ -49,6 +70,8 @@
 	r := &replay{
 		simulation: newSimulation(0, 1), pace: make(map[netip.AddrPort]float64), dead: make(map[netip.AddrPort]bool),
 		sent: make(map[uint64]time.Time), queued: make(map[uint64]bool), granted: make(map[netip.AddrPort]int),
+		shapes: make(map[uint64]shape), foreign: make(map[netip.AddrPort]int), running: make(map[netip.AddrPort]int),
+		kinds: make(map[string]*[2]int),
 	}
 	r.pool = &granter.Pool{Key: granter.Key{Service: "s", Zone: "a"}, Jitter: func() float64 { return 1 }}
 	r.pool.Sample = r.probe
@@ -88,7 +111,7 @@
 	r.probes++
 	at := s.Address
 	r.after(probeTime, func() {
-		f := tracker.Figure{Result: tracker.Result{Busy: -1, Failed: r.dead[at], Pace: r.pace[at]}, Age: probeTime / 2}
+		f := tracker.Figure{Result: tracker.Result{Busy: r.running[at] + r.foreign[at], Failed: r.dead[at], Pace: r.pace[at]}, Age: probeTime / 2}
 		if f.Failed {
 			f.Pace = 0
 		}
@@ -109,18 +132,27 @@
 
 func (r *replay) ask(number uint64) {
 	r.sent[number] = r.now
+	s := r.shape(number)
+	if r.kinds[s.route] == nil {
+		r.kinds[s.route] = new([2]int)
+	}
+	r.kinds[s.route][1]++
 	r.pool.Ask(r.now, granter.Ask{
-		ID: granter.ID{Owner: r, Number: number}, Rank: parser.Normal,
-		Target: r.now.Add(noiseTarget), Deadline: r.now.Add(noiseLimit),
+		ID: granter.ID{Owner: r, Number: number}, Rank: parser.Normal, Route: s.route,
+		Target: r.now.Add(s.target), Deadline: r.now.Add(s.limit),
 	})
 }
 
 // flood sends asks at a rate for a time.
-func (r *replay) flood(perSecond float64, d time.Duration) {
-	number := uint64(0)
+func (r *replay) flood(perSecond float64, d time.Duration) { r.floodOf(noise, perSecond, d) }
+
+// floodOf sends asks of a shape at a rate for a time.
+func (r *replay) floodOf(s shape, perSecond float64, d time.Duration) {
+	number := uint64(len(r.shapes)) << 32
 	for at := time.Duration(0); at < d; at += time.Duration(r.rand.ExpFloat64() / perSecond * float64(time.Second)) {
 		number++
 		n := number
+		r.shapes[n] = s
 		r.after(at, func() { r.ask(n) })
 	}
 }
@@ -136,10 +168,14 @@
 		r.longest = max(r.longest, r.now.Sub(r.sent[number]))
 	case granter.Offered:
 		r.granted[reply.Server]++
-		took := time.Duration(float64(noiseWork) * r.pace[reply.Server] * (0.7 + 0.6*r.rand.Float64()))
+		s := r.shape(number)
+		took := time.Duration(float64(s.work) * r.pace[reply.Server] * (0.7 + 0.6*r.rand.Float64()))
+		r.running[reply.Server]++
 		r.after(took, func() {
-			if r.now.Sub(r.sent[number]) <= noiseTarget {
+			r.running[reply.Server]--
+			if r.now.Sub(r.sent[number]) <= s.target {
 				r.onTime++
+				r.kinds[s.route][0]++
 			} else {
 				r.late++
 			}
--- a/internal/route/granter/pool.go
+++ b/internal/route/granter/pool.go
@@ -27,6 +27,7 @@
 	config  parser.Service
 	known   *mapper.Map // Map of the last Sync.
 	queues  [parser.Ranks]queue
+	works   works
 	waits   map[ID]*list.Element
 	grants  map[ID]*grant
 	kept    int // Grants that entries keep between calls.
@@ -34,12 +35,15 @@
 	urgent  time.Time // Last urgent ask.
 	spread  float64   // Slots of the whole service over those of the pool.
 	scratch []picker.Candidate[*tracker.Server]
+	order   []*waiting // Buffer of arrange.
 }
 
 // grant is a slot in use.
 type grant struct {
 	server   *tracker.Server
 	rank     parser.Rank
+	route    string
+	guess    time.Duration // Work that was assumed at the grant.
 	since    time.Time
 	deadline time.Time
 	pace     float64 // Pace of the server at the grant; 0 when unknown.
@@ -137,7 +141,11 @@
 		return
 	}
 	q := &p.queues[a.Rank]
-	if a.Target.IsZero() || a.Target.After(a.Deadline) {
+	if a.Target.IsZero() {
+		a.Target = a.Deadline
+	}
+	a.guess = time.Duration(guessShare * float64(a.Target.Sub(now)))
+	if a.Target.After(a.Deadline) {
 		a.Target = a.Deadline
 	}
 	if p.hopeless(now, a) {
@@ -267,7 +275,7 @@
 func (p *Pool) grant(now time.Time, s *tracker.Server, a Ask) {
 	pace, _, _ := s.Pace(now)
 	p.servers.Take(s)
-	p.grants[a.ID] = &grant{server: s, rank: a.Rank, since: now, deadline: a.Deadline, pace: pace}
+	p.grants[a.ID] = &grant{server: s, rank: a.Rank, route: a.Route, guess: a.guess, since: now, deadline: a.Deadline, pace: pace}
 }
 
 // release ends a grant; r is nil when the result is unknown.
@@ -280,7 +288,7 @@
 	if g.kept {
 		p.kept--
 	}
-	if r == nil {
+	if r == nil || r.Failed && p.hurried(now, g) {
 		p.servers.Drop(g.server)
 	} else {
 		p.servers.Finish(now, g.server, *r)
--- a/internal/route/granter/queue.go
+++ b/internal/route/granter/queue.go
@@ -8,8 +8,10 @@
 // waiting is an ask in a queue.
 type waiting struct {
 	Ask
-	since time.Time
-	told  bool // The owner knows that the ask waits.
+	since  time.Time
+	told   bool // The owner knows that the ask waits.
+	missed bool // It can no longer meet its target.
+	class  int  // Class of its work.
 }
 
 // queue holds the asks of one rank in order of arrival.
--- a/internal/route/granter/serve.go
+++ b/internal/route/granter/serve.go
@@ -77,12 +77,10 @@
 }
 
 func (p *Pool) serveRank(now time.Time, r parser.Rank) bool {
-	q := &p.queues[r]
-	newest := q.overloaded(now)
-	scanned := 0
-	for e := q.first(newest); e != nil && scanned < maxScan; scanned++ {
-		w := e.Value.(*waiting)
-		e = q.next(e, newest)
+	for i, w := range p.arrange(now, &p.queues[r]) {
+		if i == maxScan {
+			break
+		}
 		if !w.Deadline.After(now) {
 			p.remove(w.ID)
 			p.refuse(now, w.Ask, Late)
--- a/internal/route/granter/session.go
+++ b/internal/route/granter/session.go
@@ -106,7 +106,7 @@
 		}
 	}
 	s.granter.Ask(key, Ask{
-		ID: ID{s, a.Number}, Rank: rank(a.Rank), Deadline: now.Add(time.Duration(a.Left)),
+		ID: ID{s, a.Number}, Rank: rank(a.Rank), Route: a.Route, Deadline: now.Add(time.Duration(a.Left)),
 		Target: now.Add(time.Duration(a.Target)), Avoid: avoid,
 	})
 	return nil
