Leave the last slots free where filling them slows a server down

Only some deployments slow down so, and no page or header says which. Change: a pool compares the work of calls that ran on nearly full servers with that of others, route by route, by the mean of logarithms; it leaves the slots above 80% free unless filling them ends 1.2 times the calls. While it knows too little it fills one server. The change of the belief is audited.

--- a/internal/route/granter/admit.go
+++ b/internal/route/granter/admit.go
@@ -61,7 +61,7 @@
 		if !ok || age > slowAge {
 			pace = leastPace
 		}
-		slots += float64(p.most(s)) / max(pace, leastPace)
+		slots += float64(p.most(now, s)) / max(pace, leastPace)
 	}
 	return slots
 }
--- a/internal/route/granter/fresh.go
+++ b/internal/route/granter/fresh.go
@@ -96,7 +96,7 @@
 	}
 	busy := float64(s.InFlight()) + p.servers.Foreign(now, s)
 	cost := pace * (1 + busy/float64(slotsOf(s))/4)
-	if p.crowds(s) {
+	if crowded(s, 1) {
 		cost *= crowding
 	}
 	return option{s, cost + p.servers.Failures(now, s)*failureCost, pace}
--- a/internal/route/granter/fresh_test.go
+++ b/internal/route/granter/fresh_test.go
@@ -42,6 +42,7 @@
 	shapes  map[uint64]shape       // Of asks that are not like noise.
 	foreign map[netip.AddrPort]int // Calls at a server that the pool did not grant.
 	running map[netip.AddrPort]int // Calls at a server that the pool granted.
+	knee    float64                // Factor on the work of a call that makes a server nearly full; 0 means none.
 	kinds   map[string]*[2]int     // Calls on time and all, by route.
 }
 
@@ -171,6 +172,9 @@
 		s := r.shape(number)
 		took := time.Duration(float64(s.work) * r.pace[reply.Server] * (0.7 + 0.6*r.rand.Float64()))
 		r.running[reply.Server]++
+		if r.knee > 0 && float64(r.running[reply.Server]) > 0.8*6 {
+			took = time.Duration(r.knee * float64(took))
+		}
 		r.after(took, func() {
 			r.running[reply.Server]--
 			if r.now.Sub(r.sent[number]) <= s.target {
--- a/internal/route/granter/overload_test.go
+++ b/internal/route/granter/overload_test.go
@@ -129,3 +129,25 @@
 		}
 	}
 }
+
+// TestKnee guards against a home that fills servers which slow down when nearly
+// full, and against one that leaves slots of others empty: it replays a flood on
+// servers of 6 slots of both sorts.
+func TestKnee(t *testing.T) {
+	share := make(map[float64]float64)
+	for _, knee := range []float64{0, 1.7} {
+		r := newReplay(5, 6, 30*time.Millisecond)
+		r.knee = knee
+		r.tick()
+		r.floodOf(longCalls, 2*30/longCalls.work.Seconds(), 20*time.Second)
+		r.pass(22 * time.Second)
+		share[knee] = float64(r.kinds["long"][0]) * longCalls.work.Seconds() / 20 / 30
+	}
+	if got, want := share[0], 0.9; got < want {
+		t.Errorf("got %.3f of the slots used on time without a slowdown, want %v", got, want)
+	}
+	// Four of six slots can be used at the usual pace.
+	if got, want := share[1.7], 0.95*4/6; got < want {
+		t.Errorf("got %.3f of the slots used on time with a slowdown, want %.3f", got, want)
+	}
+}
--- a/internal/route/granter/pool.go
+++ b/internal/route/granter/pool.go
@@ -28,6 +28,7 @@
 	known   *mapper.Map // Map of the last Sync.
 	queues  [parser.Ranks]queue
 	works   works
+	crowd   crowd
 	waits   map[ID]*list.Element
 	grants  map[ID]*grant
 	kept    int // Grants that entries keep between calls.
@@ -46,8 +47,9 @@
 	guess    time.Duration // Work that was assumed at the grant.
 	since    time.Time
 	deadline time.Time
-	pace     float64 // Pace of the server at the grant; 0 when unknown.
-	kept     bool    // No call uses the slot; the entry keeps it for its next one.
+	pace     float64       // Pace of the server at the grant; 0 when unknown.
+	crowded  time.Duration // Time in which the server was nearly full until the grant.
+	kept     bool          // No call uses the slot; the entry keeps it for its next one.
 	recalled bool
 }
 
@@ -94,7 +96,7 @@
 		b := &members[i]
 		listed[b.Address] = true
 		if s := p.servers.Find(b.Address); s != nil && (s.Name != b.Name || s.Born != b.Born) {
-			p.servers.Remove(s) // Its grants end with the old process.
+			p.forget(s) // Its grants end with the old process.
 		}
 		s := p.servers.Add(now, b.Name, b.Address, cold)
 		s.Born = b.Born
@@ -109,7 +111,7 @@
 		p.servers.Leave(now, s, true)
 		p.recallFrom(now, s)
 		if s.InFlight() == 0 {
-			p.servers.Remove(s)
+			p.forget(s)
 		}
 	}
 	p.refuseAll(now)
@@ -275,7 +277,10 @@
 func (p *Pool) grant(now time.Time, s *tracker.Server, a Ask) {
 	pace, _, _ := s.Pace(now)
 	p.servers.Take(s)
-	p.grants[a.ID] = &grant{server: s, rank: a.Rank, route: a.Route, guess: a.guess, since: now, deadline: a.Deadline, pace: pace}
+	p.grants[a.ID] = &grant{
+		server: s, rank: a.Rank, route: a.Route, guess: a.guess, since: now, deadline: a.Deadline,
+		pace: pace, crowded: p.crowdedTime(now, s),
+	}
 }
 
 // release ends a grant; r is nil when the result is unknown.
@@ -297,8 +302,9 @@
 			p.learn(now, g)
 		}
 	}
+	p.crowdedTime(now, g.server)
 	if g.server.State(now) == tracker.Leaving && g.server.InFlight() == 0 && !p.member(g.server.Address) {
-		p.servers.Remove(g.server)
+		p.forget(g.server)
 	}
 	return true
 }
@@ -308,7 +314,13 @@
 	held := float64(now.Sub(g.since))
 	p.hold += holdGain * (held - p.hold)
 	p.queues[g.rank].held(held)
-	p.worked(g, held)
+	p.worked(now, g, held)
+}
+
+// forget drops a server.
+func (p *Pool) forget(s *tracker.Server) {
+	p.servers.Remove(s)
+	delete(p.crowd.meters, s)
 }
 
 func (p *Pool) member(addr netip.AddrPort) bool {
