--- a/internal/load/deployer/borders.go
+++ b/internal/load/deployer/borders.go
@@ -80,6 +80,8 @@
 
 // Part separates zone from the others.
 func (c *Cluster) Part(zone string) {
+	c.zones.mu.Lock()
+	defer c.zones.mu.Unlock()
 	for k, g := range c.zones.gates {
 		if k.from == zone || k.zone == zone {
 			g.Block()
@@ -89,6 +91,8 @@
 
 // Heal ends all separations.
 func (c *Cluster) Heal() {
+	c.zones.mu.Lock()
+	defer c.zones.mu.Unlock()
 	for _, g := range c.zones.gates {
 		g.Heal()
 	}
--- a/internal/load/scenarist/mishaps.go
+++ b/internal/load/scenarist/mishaps.go
@@ -13,6 +13,8 @@
 
 const mishapsTime = 14 * time.Second
 
+const killed = "instance killed and replaced"
+
 // action begins or ends a failure; i is the instance that it concerns.
 type action func(t *Trial, c *deployer.Cluster, i *launcher.Instance) error
 
@@ -25,7 +27,7 @@
 func failures() []mishap {
 	cut := each((*breaker.Breaker).Cut)
 	return []mishap{
-		{"instance killed and replaced", kill, replace},
+		{killed, kill, replace},
 		{"instance paused", send(syscall.SIGSTOP), send(syscall.SIGCONT)},
 		{"servers slow", modes(30, false, false), modes(1, false, false)},
 		{"servers fail fast", modes(1, true, false), modes(1, false, false)},
@@ -40,10 +42,11 @@
 
 // event is the begin or end of a mishap.
 type event struct {
-	at    time.Duration
-	text  string
-	do    action
-	index int
+	at       time.Duration
+	text     string
+	do       action
+	index    int
+	instance *launcher.Instance // Used instead of index by soak.
 }
 
 // mishaps lets two failures happen at times drawn from the seed.
@@ -79,8 +82,8 @@
 		from := end/10 + time.Duration(rng.Int64N(int64(end/2)))
 		till := from + end/10 + time.Duration(rng.Int64N(int64(end/5)))
 		events = append(events,
-			event{from, all[i].name + " (begins)", all[i].begin, n},
-			event{till, all[i].name + " (ends)", all[i].end, n})
+			event{at: from, text: all[i].name + " (begins)", do: all[i].begin, index: n},
+			event{at: till, text: all[i].name + " (ends)", do: all[i].end, index: n})
 	}
 	slices.SortFunc(events, func(a, b event) int { return int(a.at - b.at) })
 	return events
--- a/internal/load/scenarist/scenario.go
+++ b/internal/load/scenarist/scenario.go
@@ -38,6 +38,7 @@
 		{"probes", "Does measuring stay within the budget of each backend server in every second?", probes},
 		{"split", "Do both sides serve, and is nothing wrong, while a zone is separated from the others?", split},
 		{"mishaps", "Is nothing wrong when two failures come at random times?", mishaps},
+		{"soak", "Is nothing wrong, and is all well again afterwards, when failures of all kinds come in series and overlap?", soak},
 		{"capacity", "How do processor, memory and control traffic of an instance grow with services, backend servers and changes?", capacity},
 	}
 }
@@ -62,7 +63,8 @@
 	Policy     string // Policy restricts the scenario policy to one, and sets it in the others; empty means all, or grant.
 	Report     string // Folder for the report and the plot; empty means none.
 	Binary     *launcher.Launcher
-	Short      bool // Short runs few seconds and lets only counts decide, never durations.
+	Time       time.Duration // Time of the scenario soak; 0 means its default.
+	Short      bool          // Short runs few seconds and lets only counts decide, never durations.
 	Out        io.Writer
 }
 
@@ -77,7 +79,7 @@
 }
 
 func (r *Runner) run(ctx context.Context, s scenario) (bool, error) {
-	ctx, cancel := context.WithTimeout(ctx, length)
+	ctx, cancel := context.WithTimeout(ctx, length+r.Time)
 	defer cancel()
 	d := deployer.Named(r.Deployment)
 	if d == nil {
--- a/internal/load/scenarist/scenarist_test.go
+++ b/internal/load/scenarist/scenarist_test.go
@@ -18,7 +18,7 @@
 	if err := l.Build(); err != nil {
 		t.Fatal(err)
 	}
-	for _, name := range []string{"once", "drain", "silent", "split", "mishaps"} {
+	for _, name := range []string{"once", "drain", "silent", "split", "mishaps", "soak"} {
 		var out bytes.Buffer
 		r := &scenarist.Runner{Seed: 1, Instances: 4, Deployment: "association", Short: true, Binary: l, Out: &out}
 		ok, err := r.Run(context.Background(), name)
--- a/internal/load/scenarist/trial.go
+++ b/internal/load/scenarist/trial.go
@@ -97,12 +97,13 @@
 	}
 }
 
-// replacer kills an instance and starts another in its place.
+// replacer ends an instance and starts another in its place.
 type replacer struct {
 	trial    *Trial
 	cluster  *deployer.Cluster
 	instance *launcher.Instance
 	err      chan error
+	stop     func(*launcher.Instance) // Ends the instance; nil kills it.
 }
 
 // replace begins to kill and replace i; replaced waits for its end.
@@ -113,7 +114,11 @@
 }
 
 func (r *replacer) run() {
-	r.cluster.Kill(r.instance)
+	if r.stop != nil {
+		r.stop(r.instance)
+	} else {
+		r.cluster.Kill(r.instance)
+	}
 	r.err <- r.cluster.Replace(r.trial.ctx, r.instance)
 }
 
--- a/internal/standin/breaker/breaker.go
+++ b/internal/standin/breaker/breaker.go
@@ -13,6 +13,8 @@
 type Breaker struct {
 	Target  netip.AddrPort
 	Blocked atomic.Bool // Blocked makes each new connection silent from its start.
+	// Delay holds up what is forwarded, in nanoseconds for each read.
+	Delay atomic.Int64
 
 	listener net.Listener
 	mu       sync.Mutex
@@ -47,6 +49,16 @@
 	return len(b.links)
 }
 
+// Mute drops what comes back on all present connections, which stay open and
+// keep forwarding the other way.
+func (b *Breaker) Mute() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for l := range b.links {
+		l.mute.Store(true)
+	}
+}
+
 // Block separates the two sides: present and new connections are silent.
 func (b *Breaker) Block() {
 	b.Blocked.Store(true)
--- a/internal/standin/breaker/link.go
+++ b/internal/standin/breaker/link.go
@@ -4,6 +4,7 @@
 	"net"
 	"sync"
 	"sync/atomic"
+	"time"
 )
 
 // link is one forwarded connection.
@@ -11,6 +12,7 @@
 	breaker *Breaker
 	near    net.Conn
 	silent  atomic.Bool
+	mute    atomic.Bool // Only the way back is silent.
 
 	mu     sync.Mutex
 	far    net.Conn
@@ -34,22 +36,23 @@
 	}
 	back := make(chan struct{})
 	go l.answer(back)
-	l.copy(far, l.near)
+	l.copy(far, l.near, &l.silent)
 	<-back
 }
 
 func (l *link) answer(done chan<- struct{}) {
 	defer close(done)
-	l.copy(l.near, l.far)
+	l.copy(l.near, l.far, &l.mute)
 }
 
 // copy forwards until one side closes, which closes both. Bytes that are read
-// while the link is silent are dropped.
-func (l *link) copy(to, from net.Conn) {
+// while the link or this way of it is silent are dropped.
+func (l *link) copy(to, from net.Conn, silent *atomic.Bool) {
 	buf := make([]byte, 32<<10)
 	for {
 		n, err := from.Read(buf)
-		if n > 0 && !l.silent.Load() {
+		time.Sleep(time.Duration(l.breaker.Delay.Load()))
+		if n > 0 && !l.silent.Load() && !silent.Load() {
 			if _, err := to.Write(buf[:n]); err != nil {
 				break
 			}
