Do not wait for an instance that the soak ended before it was ready

Change: the wait ends when the instance is no longer part of the cluster. A fault of the trial, not of the product.

--- a/internal/load/deployer/cluster.go
+++ b/internal/load/deployer/cluster.go
@@ -112,6 +112,9 @@
 				c.Entrance.Add(i.URL())
 				return nil
 			}
+			if !slices.Contains(c.Running(), i) {
+				return nil // The trial ended it before it was ready.
+			}
 		}
 		return errors.Errorf("instance %s is not ready; see %s", i.Settings.Name, i.Log)
 	}
