Look at fewer servers and asks in a flood, and keep the limits of shedding servers

Its homes looked at 30 servers for each of up to 32 asks at every event, also while no slot was free, and fell behind: calls of a target of 1 s were refused after 1.5 to 2.3 s. Change: a refusal by a server that says it has room counts as a failure and leaves its limit; a pool without room is not searched, and a search ends when asks wait for the same probes or 4 in a row suit no server; nearly full servers are counted, not searched.

--- a/internal/route/granter/crowd.go
+++ b/internal/route/granter/crowd.go
@@ -42,6 +42,7 @@
 // crowd compares calls on nearly full servers with others.
 type crowd struct {
 	meters map[*tracker.Server]*crowdMeter
+	filled int                  // Servers that are nearly full.
 	routes map[string]*contrast // Work differs between routes.
 	judged time.Time
 	factor float64 // Slowdown when it was last judged; 0 while too few calls are known.
@@ -92,13 +93,28 @@
 		c.meters[s] = m
 	}
 	m.total = m.at(now)
-	m.since = time.Time{}
+	c.leave(m)
 	if crowded(s, 0) {
 		m.since = now
+		c.filled++
 	}
 	return m.total
 }
 
+// leave says that the server of m is not nearly full.
+func (c *crowd) leave(m *crowdMeter) {
+	if m != nil && !m.since.IsZero() {
+		m.since = time.Time{}
+		c.filled--
+	}
+}
+
+// forget drops a server.
+func (c *crowd) forget(s *tracker.Server) {
+	c.leave(c.meters[s])
+	delete(c.meters, s)
+}
+
 // learn takes in the work of a call of route, of which the share was spent on a
 // nearly full server.
 func (c *crowd) learn(now time.Time, route string, work, share float64) {
@@ -140,12 +156,10 @@
 
 // alone reports whether no server but s is nearly full.
 func (c *crowd) alone(s *tracker.Server) bool {
-	for o, m := range c.meters {
-		if o != s && !m.since.IsZero() {
-			return false
-		}
+	if m := c.meters[s]; m != nil && !m.since.IsZero() {
+		return c.filled == 1
 	}
-	return true
+	return c.filled == 0
 }
 
 // crowded reports whether more calls besides those at s would make it nearly full.
--- a/internal/route/granter/fresh.go
+++ b/internal/route/granter/fresh.go
@@ -78,11 +78,12 @@
 			stale = append(stale, o)
 		}
 	}
+	p.awaiting = false
 	if best, ok := cheapest(known); ok {
 		return best.server
 	}
 	pending += p.sample(now, stale, min(max(leastSamples, len(p.waits)), mostSamples)-pending)
-	if pending > 0 {
+	if p.awaiting = pending > 0; p.awaiting {
 		return nil
 	}
 	return p.settle(now, w, slow)
--- a/internal/route/granter/overload_test.go
+++ b/internal/route/granter/overload_test.go
@@ -151,3 +151,22 @@
 		t.Errorf("got %.3f of the slots used on time with a slowdown, want %.3f", got, want)
 	}
 }
+
+// TestShedding guards against a home that lowers the limits of servers which
+// shed a share of their calls although they have room: all of a service did so
+// for 8 s, and its capacity stayed at a sixth for half a minute after.
+func TestShedding(t *testing.T) {
+	r := newReplay(4, 6, 30*time.Millisecond)
+	r.tick()
+	for n := range uint64(40) {
+		r.ask(n)
+		r.pass(2 * time.Millisecond)
+		r.pool.Done(r.now, granter.ID{Owner: r, Number: n}, tracker.Result{Refused: true, Busy: 1})
+		r.pass(noiseWork * 2)
+	}
+	for _, s := range r.pool.Status(r.now).Servers {
+		if s.State == tracker.Ready && s.Limit != 6 {
+			t.Errorf("got a limit of %d of server %v, want 6", s.Limit, s.Name)
+		}
+	}
+}
--- a/internal/route/granter/pool.go
+++ b/internal/route/granter/pool.go
@@ -37,6 +37,8 @@
 	spread  float64   // Slots of the whole service over those of the pool.
 	scratch []picker.Candidate[*tracker.Server]
 	order   []*waiting // Buffer of arrange.
+	// awaiting is set when the last choice waits for probes.
+	awaiting bool
 }
 
 // grant is a slot in use.
@@ -61,6 +63,9 @@
 	recent = time.Second
 	// maxScan bounds the asks looked at when all free servers are avoided.
 	maxScan = 32
+	// maxUnsuited bounds the asks for which no server suits that are looked at in
+	// a row: what does not suit these hardly suits the next.
+	maxUnsuited = 4
 	// initialHold is the assumed time that a call uses a slot before any has ended.
 	initialHold = float64(10 * time.Millisecond)
 	holdGain    = 0.1
@@ -320,7 +325,7 @@
 // forget drops a server.
 func (p *Pool) forget(s *tracker.Server) {
 	p.servers.Remove(s)
-	delete(p.crowd.meters, s)
+	p.crowd.forget(s)
 }
 
 func (p *Pool) member(addr netip.AddrPort) bool {
--- a/internal/route/granter/serve.go
+++ b/internal/route/granter/serve.go
@@ -14,11 +14,19 @@
 func (p *Pool) dispatch(now time.Time) {
 	more := true
 	for more && len(p.waits) > 0 {
-		more = p.free(now) > 0 && p.serve(now)
+		more = p.vacant(now) && p.serve(now)
 	}
 	p.recallKept()
 }
 
+// vacant reports whether any server may get a call now.
+func (p *Pool) vacant(now time.Time) bool {
+	if !p.fresh() {
+		return p.free(now) > 0
+	}
+	return slices.ContainsFunc(p.servers.Servers(), func(s *tracker.Server) bool { return p.room(now, s) > 0 })
+}
+
 func (p *Pool) free(now time.Time) int {
 	n := 0
 	for _, s := range p.servers.Servers() {
@@ -77,6 +85,7 @@
 }
 
 func (p *Pool) serveRank(now time.Time, r parser.Rank) bool {
+	unsuited := 0
 	for i, w := range p.arrange(now, &p.queues[r]) {
 		if i == maxScan {
 			break
@@ -87,7 +96,13 @@
 			continue
 		}
 		s := p.choose(now, w)
-		if s == nil {
+		switch {
+		case s == nil && p.fresh() && len(w.Avoid) == 0:
+			if unsuited++; p.awaiting || unsuited == maxUnsuited {
+				return false // The others wait for the same probes or servers.
+			}
+			continue
+		case s == nil:
 			continue
 		}
 		p.remove(w.ID)
--- a/internal/route/tracker/pool.go
+++ b/internal/route/tracker/pool.go
@@ -149,6 +149,13 @@
 		if s.extra > 0 && s.reported.Equal(now) {
 			return // Calls of other homes filled the server: its own limit is right.
 		}
+		if r.Busy >= 0 && r.Busy < p.most(s) {
+			// It sheds calls although it has room: fewer at a time would not help.
+			s.streak = 0
+			s.count(now, p.Settings.Window, true)
+			p.consider(now, s)
+			return
+		}
 		s.streak, s.cold = 0, false
 		p.setLimit(now, s, max(s.limit-1, 1), "documented refusal")
 		return
