Count a call that was sent and broke as cut in the load test

No log line of a rejected call has an attempt that may have run. The callers' http.Transport sends a call without a body again when a reused connection breaks; the second dial was refused by the killed instance, so the trial sent the same attempt to another instance, which truly refused it. Change: an attempt whose header was written counts as cut and is not tried elsewhere.

--- a/internal/load/driver/call.go
+++ b/internal/load/driver/call.go
@@ -6,9 +6,11 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/google/uuid"
@@ -89,6 +91,9 @@
 	return strings.TrimSpace(string(text))
 }
 
+// errSent is the error of an attempt that was sent and got no answer.
+var errSent = errors.New("no answer to a call that was sent")
+
 // maxDials bounds the instances that the platform's load balancer tries for
 // one attempt when connections are refused.
 const maxDials = 4
@@ -134,8 +139,15 @@
 	if c.identity != "" {
 		req.Header.Set(c.header, c.identity)
 	}
-	resp, err := c.driver.client.Do(req)
-	if err != nil {
+	// http.Transport sends a call without a body again by itself when a reused
+	// connection breaks; the call may then have run although the last dial failed.
+	var sent atomic.Bool
+	trace := &httptrace.ClientTrace{WroteHeaders: func() { sent.Store(true) }}
+	resp, err := c.driver.client.Do(req.WithContext(httptrace.WithClientTrace(ctx, trace)))
+	switch {
+	case err != nil && sent.Load():
+		return recorder.Cut, err.Error(), errSent
+	case err != nil:
 		return recorder.Cut, err.Error(), err
 	}
 	outcome, reason := c.read(resp)
--- a/internal/load/driver/driver_test.go
+++ b/internal/load/driver/driver_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"net/http/httptest"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -85,3 +86,45 @@
 		t.Errorf("got mean service time %v, want 20ms within 0.4ms", mean)
 	}
 }
+
+// dying answers its first call; at the second it breaks the connection, stops
+// listening and leaves the entrance to another.
+type dying struct {
+	server *httptest.Server
+	other  string
+	door   *driver.Entrance
+	calls  atomic.Int64
+}
+
+func (d *dying) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if d.calls.Add(1) == 1 {
+		stub{}.ServeHTTP(w, r)
+		return
+	}
+	_ = d.server.Listener.Close()
+	d.door.Add(d.other)
+	panic(http.ErrAbortHandler)
+}
+
+// TestSentAgain guards against a trial that blames a refusal for a run of the
+// same attempt at another instance: the connection broke after the call was
+// sent, and the caller's HTTP client tried again.
+func TestSentAgain(t *testing.T) {
+	other := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Sardine-Outcome", "rejected")
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}))
+	defer other.Close()
+	x := &dying{other: other.URL, door: new(driver.Entrance)}
+	x.server = httptest.NewServer(x)
+	defer x.server.Close()
+	stream := planner.Stream{Service: "s", Path: "/served", Idempotent: true}
+	plan := []planner.Arrival{{Stream: &stream}, {Stream: &stream, At: 200 * time.Millisecond}}
+	d := &driver.Driver{Plan: plan, Entrance: x.door, Record: new(recorder.Recorder), Start: time.Now()}
+	x.door.Add(x.server.URL)
+	d.Run(context.Background())
+	counts := recorder.Summarize(d.Record.Calls(nil)).Count
+	if counts[recorder.Served] != 1 || counts[recorder.Cut] != 1 {
+		t.Errorf("got outcomes %v, want one call served and one cut", counts)
+	}
+}
