Take a failure as cut short only at the deadline, and keep the belief in a slowdown

Change: 25 ms before the deadline instead of 250; half of the calls keep a belief that exists. Figures: TestFailsFast got no ejection after 30 failures before, one after.

--- a/internal/route/granter/crowd.go
+++ b/internal/route/granter/crowd.go
@@ -138,8 +138,8 @@
 
 // slowdown returns how many times longer calls take on nearly full servers, the
 // mean of the routes by the number of calls that can be compared; ok is false
-// while these are too few.
-func (c *crowd) slowdown(now time.Time) (factor float64, ok bool) {
+// while these are fewer than least.
+func (c *crowd) slowdown(now time.Time, least float64) (factor float64, ok bool) {
 	weight, sum := 0.0, 0.0
 	for _, r := range c.routes {
 		w := min(r.calm.weightAt(now), r.full.weightAt(now))
@@ -148,7 +148,7 @@
 			sum += w * (r.full.sum/r.full.weight - r.calm.sum/r.calm.weight)
 		}
 	}
-	if weight < leastCompared {
+	if weight < least {
 		return 0, false
 	}
 	return math.Exp(sum / weight), true
@@ -201,9 +201,12 @@
 	if now.Sub(c.judged) < judgePeriod {
 		return
 	}
-	before := c.factor
+	before, least := c.factor, leastCompared
+	if before > 0 {
+		least /= 2 // Hysteresis keeps the belief while the weights fade around the bound.
+	}
 	c.judged, c.factor = now, 0
-	if factor, ok := c.slowdown(now); ok {
+	if factor, ok := c.slowdown(now, least); ok {
 		c.factor = factor
 	}
 	slots := max(p.config.Slots, crowdSlots)
--- a/internal/route/granter/overload_test.go
+++ b/internal/route/granter/overload_test.go
@@ -130,6 +130,29 @@
 	}
 }
 
+// TestFailsFast guards against failures of a server that pass as cut short
+// because their callers have little time left.
+func TestFailsFast(t *testing.T) {
+	r := newReplay(3, 6, 30*time.Millisecond)
+	r.tick()
+	for n := range uint64(30) {
+		r.sent[n], r.shapes[n] = r.now, shape{"fails", time.Hour, noiseTarget, noiseTarget / 2}
+		r.ask(n)
+		r.pass(10 * time.Millisecond)
+		r.pool.Done(r.now, granter.ID{Owner: r, Number: n}, tracker.Result{Failed: true, Busy: -1, Latency: 10 * time.Millisecond})
+		r.pass(noiseTarget)
+	}
+	ejected := 0
+	for _, s := range r.pool.Status(r.now).Servers {
+		if s.State != tracker.Ready {
+			ejected++
+		}
+	}
+	if ejected == 0 {
+		t.Error("got no server ejected after 30 failures, want one")
+	}
+}
+
 // TestKnee guards against a home that fills servers which slow down when nearly
 // full, and against one that leaves slots of others empty: it replays a flood on
 // servers of 6 slots of both sorts.
--- a/internal/route/granter/work.go
+++ b/internal/route/granter/work.go
@@ -18,9 +18,9 @@
 	leastCalls = 3
 	// maxRoutes bounds the routes with a figure; a configuration has fewer.
 	maxRoutes = 1024
-	// firstGain bounds the weight of the first calls of a route from below by
-	// that of an average, so that the figure settles within a few calls.
-	firstGain = 1.0
+	// cutMargin is the time before its deadline from which a call counts as ended
+	// by it: the time for word of its end from an instance of another zone.
+	cutMargin = 25 * time.Millisecond
 )
 
 // learn takes in the time of a call of route at the usual pace of its server.
@@ -34,7 +34,8 @@
 		(*w)[route] = e
 	}
 	e.calls++
-	e.mean += max(holdGain, firstGain/float64(e.calls)) * (time - e.mean)
+	// The first calls count as in a plain mean, so that the figure settles soon.
+	e.mean += max(holdGain, 1/float64(e.calls)) * (time - e.mean)
 }
 
 // hurried reports whether the call of g ended by a deadline that left it too
@@ -44,7 +45,7 @@
 	if !ok {
 		work = g.guess
 	}
-	return !now.Before(g.deadline.Add(-grace)) && float64(now.Sub(g.since)) < hurry*float64(work)*max(g.pace, 1)
+	return !now.Before(g.deadline.Add(-cutMargin)) && float64(now.Sub(g.since)) < hurry*float64(work)*max(g.pace, 1)
 }
 
 // of returns the expected time of a call of route; ok is false while too few are known.
