Do not count a refusal with room as a failure

At least 3 of 12 repeats under the race detector failed. Figures: TestSession 6 of 6 with the race detector; granter and tracker tests pass.

--- a/internal/route/tracker/pool.go
+++ b/internal/route/tracker/pool.go
@@ -152,8 +152,6 @@
 		if r.Busy >= 0 && r.Busy < p.most(s) {
 			// It sheds calls although it has room: fewer at a time would not help.
 			s.streak = 0
-			s.count(now, p.Settings.Window, true)
-			p.consider(now, s)
 			return
 		}
 		s.streak, s.cold = 0, false
