Refuse numbers where a value is text

Cause: the decoder stores an integer in a field of type Rank or Duration as it is, so a bundle with 'rank = 7' was accepted and used as an index of an array of 3, and 'deadline = 5000000' counted nanoseconds. Change: after decoding, a number at a key whose field is decoded from text is a mistake with its line.

--- a/internal/config/parser/decode.go
+++ b/internal/config/parser/decode.go
@@ -3,6 +3,8 @@
 import (
 	"bytes"
 	"cmp"
+	"encoding"
+	"reflect"
 	"slices"
 	"strings"
 
@@ -110,6 +112,7 @@
 	for range maxDecodePasses {
 		err := toml.NewDecoder(bytes.NewReader(remaining)).DisallowUnknownFields().Decode(target)
 		if err == nil {
+			c.addNumbersForText(target)
 			return c
 		}
 		var strict *toml.StrictMissingError
@@ -152,6 +155,36 @@
 	}
 }
 
+// addNumbersForText records the numbers in the file for keys whose values are text. The
+// decoder would store them in the fields as they are.
+func (c *checker) addNumbersForText(target any) {
+	text := make(map[string]bool)
+	addTextKeys(text, "", reflect.TypeOf(target))
+	for _, path := range c.index.numberPaths {
+		if text[displayPath(path)] {
+			c.addMistake(path, "is a number; the value must be text in quotes")
+		}
+	}
+}
+
+var textType = reflect.TypeFor[encoding.TextUnmarshaler]()
+
+// addTextKeys adds the keys of t, and of the types inside it, whose values are decoded
+// from text, as displayPath shows them.
+func addTextKeys(keys map[string]bool, path string, t reflect.Type) {
+	switch {
+	case reflect.PointerTo(t).Implements(textType):
+		keys[path] = true
+	case t.Kind() == reflect.Pointer || t.Kind() == reflect.Slice:
+		addTextKeys(keys, path, t.Elem())
+	case t.Kind() == reflect.Struct:
+		for i := range t.NumField() {
+			name, _, _ := strings.Cut(t.Field(i).Tag.Get("toml"), ",")
+			addTextKeys(keys, joinPath(path, name), t.Field(i).Type)
+		}
+	}
+}
+
 // sortMistakes sorts the mistakes by line and returns them.
 func (c *checker) sortMistakes() []Mistake {
 	slices.SortStableFunc(c.mistakes, func(a, b Mistake) int { return cmp.Compare(a.Line, b.Line) })
--- a/internal/config/parser/key_index.go
+++ b/internal/config/parser/key_index.go
@@ -16,6 +16,7 @@
 	expressions   []expression   // Table headers and key-value pairs outside of inline tables, in order.
 	elementCounts map[string]int // Elements of each array of tables read so far, by path.
 	tablePath     string         // Path of the table that was opened last.
+	numberPaths   []string       // Paths of the values that are numbers.
 	tomlParser    unstable.Parser
 }
 
@@ -96,6 +97,9 @@
 // addNestedKeys indexes the keys and elements inside v, the value at path, if it is an
 // inline table or an array. Array elements get the line of the key.
 func (k *keyIndex) addNestedKeys(path string, line int, v *unstable.Node) {
+	if v.Kind == unstable.Integer || v.Kind == unstable.Float {
+		k.numberPaths = append(k.numberPaths, path)
+	}
 	i := 0
 	for it := v.Children(); it.Next(); {
 		switch child := it.Node(); {
