End one call, stream or message at a panic, not the process

Cause: outside the handlers of net/http nothing recovered, so a panic in any goroutine, such as one that handles a message of another instance, ended the process with all its calls. Change: recoverer.Catch around incoming streams, replies of homes, commands and ticks of a pool, probes, attempts of calls (reported as unknown, because they may have run); metric sardinelever_panics_total and a log line with the stack.

--- a/internal/call/retrier/retrier.go
+++ b/internal/call/retrier/retrier.go
@@ -10,6 +10,7 @@
 	"github.com/pkg/errors"
 
 	"sardinelever.example/sardinelever/internal/call/sender"
+	"sardinelever.example/sardinelever/internal/flow/recoverer"
 )
 
 // Retrier makes the attempts of calls whose answers have type T and keeps the
@@ -181,7 +182,7 @@
 // runAttempt makes attempt a and delivers its result to awaitAnswer. An answer
 // that is no longer received is discarded.
 func (g *attemptGroup[T]) runAttempt(ctx context.Context, a *Attempt) {
-	v, err := g.call.Try(ctx, a)
+	v, err := g.tryAttempt(ctx, a)
 	select {
 	case g.results <- result[T]{a.Number, v, err}:
 	case <-g.done:
@@ -191,6 +192,12 @@
 	}
 }
 
+// tryAttempt makes attempt a. After a panic the call may have run.
+func (g *attemptGroup[T]) tryAttempt(ctx context.Context, a *Attempt) (v T, err error) {
+	defer recoverer.Catch("attempt of a call", func() { err = &sender.Failure{Outcome: sender.Unknown, Reason: "panic"} })
+	return g.call.Try(ctx, a)
+}
+
 // acquireRetry reports whether the call may be retried after err; if so, it
 // takes a token and one unit of the budget.
 func (g *attemptGroup[T]) acquireRetry(err error) bool {
--- a/internal/fleet/connector/stream.go
+++ b/internal/fleet/connector/stream.go
@@ -6,6 +6,8 @@
 
 	"github.com/hashicorp/yamux"
 	"github.com/phuslu/log"
+
+	"sardinelever.example/sardinelever/internal/flow/recoverer"
 )
 
 // Stream is a yamux stream that counts its bytes by stream kind.
@@ -61,6 +63,7 @@
 	co := s.session.connector
 	defer co.tasks.Done()
 	defer s.close()
+	defer recoverer.Catch("stream of "+s.session.peerHello.Name, nil)
 	var b [1]byte
 	_ = s.SetReadDeadline(time.Now().Add(co.WriteTimeout))
 	if _, err := s.Stream.Read(b[:]); err != nil {
--- /dev/null
+++ b/internal/flow/recoverer/doc.go
@@ -0,0 +1,3 @@
+// Package recoverer keeps a panic in one call, stream or message from ending the
+// process.
+package recoverer
--- a/internal/instance/runner/adapters.go
+++ b/internal/instance/runner/adapters.go
@@ -12,6 +12,7 @@
 	"sardinelever.example/sardinelever/internal/fleet/hasher"
 	"sardinelever.example/sardinelever/internal/fleet/messenger"
 	"sardinelever.example/sardinelever/internal/fleet/registrar"
+	"sardinelever.example/sardinelever/internal/flow/recoverer"
 	"sardinelever.example/sardinelever/internal/operator/auditor"
 	"sardinelever.example/sardinelever/internal/platform/reader"
 	"sardinelever.example/sardinelever/internal/route/allocator"
@@ -101,6 +102,7 @@
 }
 
 func (o onDemandProbe) run() {
+	defer recoverer.Catch("probe", nil)
 	service := o.routingTable.Load().Services[o.service]
 	if service == nil {
 		return
--- a/internal/operator/meter/metrics.go
+++ b/internal/operator/meter/metrics.go
@@ -3,6 +3,8 @@
 import (
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/collectors"
+
+	"sardinelever.example/sardinelever/internal/flow/recoverer"
 )
 
 // Metrics holds the metrics that are updated for each call. The number of label sets
@@ -27,7 +29,10 @@
 		}, []string{"service", "kind"}),
 		SlotWaitSeconds: newSecondsHistogram("sardinelever_wait_seconds", "Time that an attempt waited for a slot."),
 	}
-	r.MustRegister(m.Calls, m.CallSeconds, m.Attempts, m.SlotWaitSeconds,
+	panics := prometheus.NewCounterFunc(prometheus.CounterOpts{
+		Name: "sardinelever_panics_total", Help: "Panics that ended one call, stream or message.",
+	}, func() float64 { return float64(recoverer.Count()) })
+	r.MustRegister(panics, m.Calls, m.CallSeconds, m.Attempts, m.SlotWaitSeconds,
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	return m
 }
--- a/internal/route/acquirer/grantstream.go
+++ b/internal/route/acquirer/grantstream.go
@@ -9,10 +9,12 @@
 	"time"
 
 	"github.com/phuslu/log"
+	"github.com/pkg/errors"
 
 	"sardinelever.example/sardinelever/internal/fleet/connector"
 	"sardinelever.example/sardinelever/internal/fleet/messenger"
 	"sardinelever.example/sardinelever/internal/fleet/registrar"
+	"sardinelever.example/sardinelever/internal/flow/recoverer"
 	"sardinelever.example/sardinelever/internal/route/allocator"
 )
 
@@ -41,6 +43,8 @@
 	}
 }
 
+var errPanicked = errors.New("handling of a reply panicked")
+
 // openTimeout bounds the time to open a stream. A home that takes longer counts as
 // unreachable.
 const openTimeout = 500 * time.Millisecond
@@ -74,7 +78,8 @@
 	_ = conn.Close()
 }
 
-func (g *grantStream) readReplies(conn net.Conn) error {
+func (g *grantStream) readReplies(conn net.Conn) (err error) {
+	defer recoverer.Catch("replies of home "+g.name, func() { err = errPanicked })
 	r := bufio.NewReaderSize(conn, 32<<10)
 	for {
 		m := new(messenger.Grant)
--- a/internal/route/allocator/worker.go
+++ b/internal/route/allocator/worker.go
@@ -5,6 +5,7 @@
 	"sync/atomic"
 	"time"
 
+	"sardinelever.example/sardinelever/internal/flow/recoverer"
 	"sardinelever.example/sardinelever/internal/route/router"
 	"sardinelever.example/sardinelever/internal/route/tracker"
 )
@@ -67,12 +68,9 @@
 		case <-w.quit:
 			return
 		case cmd := <-w.commands:
-			now := time.Now()
-			w.pool.ApplyTable(now, w.routingTable.Load())
-			w.execute(now, cmd)
+			w.execute(time.Now(), cmd)
 		case now := <-t.C:
-			w.pool.ApplyTable(now, w.routingTable.Load())
-			w.pool.Tick(now)
+			w.tick(now)
 		}
 		w.activeCount.Store(int64(w.pool.QueuedCount() + w.pool.GrantedCount()))
 		want := grantTickPeriod
@@ -88,8 +86,18 @@
 
 func (w *poolWorker) probeServer(s *tracker.Server) { w.startProbe(w.pool.Key.Service, s.Address) }
 
+// tick runs what is due. A panic ends this tick alone.
+func (w *poolWorker) tick(now time.Time) {
+	defer recoverer.Catch("tick of pool "+w.pool.Key.String(), nil)
+	w.pool.ApplyTable(now, w.routingTable.Load())
+	w.pool.Tick(now)
+}
+
+// execute runs one command. A panic ends this command alone.
 func (w *poolWorker) execute(now time.Time, cmd *command) {
+	defer recoverer.Catch("command of pool "+w.pool.Key.String(), nil)
 	p := &w.pool
+	p.ApplyTable(now, w.routingTable.Load())
 	switch cmd.op {
 	case opRequestSlot:
 		p.RequestSlot(now, cmd.request)
