Exchange only the members that one of two instances lacks

Change: an exchange starts with a sum over the alive members; only if the sums differ do hashes follow, and then the members that one side lacks. Exchanges prefer the own zone while they find differences and neighbours later, and the share that goes to the seeds falls with the fleet. Heartbeats repeat unlisted members only beside a list. Members carry the setting capacity.

--- a/internal/config/parser/check.go
+++ b/internal/config/parser/check.go
@@ -19,6 +19,8 @@
 	maxDeadline = 24 * time.Hour // The header Sardine-Deadline has the same limit.
 	maxFloorSum = 0.5            // Share of the slots that the floors of all ranks reserve at most.
 	minFill     = 0.25           // One of 4 slots; fill applies to backend servers with 4 slots or more.
+	minCapacity = 0.001          // A thousandth of a core.
+	maxCapacity = 1024.0         // More cores than a machine has.
 	minMemoryMB = 32             // The process itself takes about 20 MB.
 
 	// The margin covers the 10 s for which a list of instances is used after it
@@ -128,6 +130,7 @@
 	c.checkOneOf("dialect", s.Dialect, "native", "cymdeithas")
 	checkRange(c, "grace", s.Grace, Duration(time.Millisecond), Duration(time.Hour))
 	checkRange(c, "memory", s.Memory, minMemoryMB, math.MaxInt)
+	checkRange(c, "capacity", s.Capacity, minCapacity, maxCapacity)
 	checkRange(c, "retry.ratio", s.Retry.Ratio, 0, 1)
 	checkRange(c, "retry.slack", s.Retry.Slack, 0, math.MaxInt)
 	checkRange(c, "retry.window", s.Retry.Window, Duration(time.Second), Duration(time.Hour))
--- a/internal/config/parser/settings.go
+++ b/internal/config/parser/settings.go
@@ -23,6 +23,11 @@
 	Grace   Duration         `toml:"grace,omitempty"`   // Time between SIGTERM and the forced end of the process; 0 means none.
 	Memory  int              `toml:"memory,omitempty"`  // Memory of the process in MB; 0 means no limit.
 	Retry   Retry            `toml:"retry,omitempty"`
+	// Capacity is the processor time that the instance may use, relative to other
+	// instances. Those with more of it take on more work for the others; 0 means
+	// unknown.
+	Capacity  float64 `toml:"capacity,omitempty"`
+	Bootstrap bool    `toml:"bootstrap,omitempty"` // Set when the whole fleet starts for the first time.
 	// Regions maps zones to regions, for platforms that report only the zone of a
 	// backend server.
 	Regions map[string]string `toml:"regions,omitempty"`
--- a/internal/fleet/connector/connector.go
+++ b/internal/fleet/connector/connector.go
@@ -43,6 +43,7 @@
 	Incarnation     uint64 // Start time of this process, nanoseconds since 1970.
 	Zone            string
 	Region          string
+	Capacity        float64        // Processor time relative to other instances; 0 when unknown.
 	ListenAddr      netip.AddrPort // Address of the listener for other instances; zero means no listener.
 	TLS             parser.TLS     // Paths of the key files; unused when Plain is set.
 	Plain           bool           // Whether sessions use TCP without TLS.
--- a/internal/fleet/connector/kind.go
+++ b/internal/fleet/connector/kind.go
@@ -53,11 +53,12 @@
 	Zone        string
 	Region      string
 	PeerAddr    netip.AddrPort // Address of its listener for other instances; zero when unknown.
+	Capacity    float64        // Processor time relative to other instances; 0 when unknown.
 }
 
 func (h Hello) toMessage() *messenger.Hello {
 	m := &messenger.Hello{
-		Version: h.Version, Name: h.Name, Incarnation: h.Incarnation, Zone: h.Zone, Region: h.Region,
+		Version: h.Version, Name: h.Name, Incarnation: h.Incarnation, Zone: h.Zone, Region: h.Region, Capacity: h.Capacity,
 	}
 	if h.PeerAddr.IsValid() {
 		m.Peer, _ = h.PeerAddr.MarshalBinary()
@@ -68,7 +69,7 @@
 func parseHello(m *messenger.Hello) (Hello, error) {
 	h := Hello{
 		Version: m.GetVersion(), Name: m.GetName(), Incarnation: m.GetIncarnation(),
-		Zone: m.GetZone(), Region: m.GetRegion(),
+		Zone: m.GetZone(), Region: m.GetRegion(), Capacity: m.GetCapacity(),
 	}
 	if len(m.GetPeer()) == 0 {
 		return h, nil
--- a/internal/fleet/connector/session.go
+++ b/internal/fleet/connector/session.go
@@ -132,7 +132,7 @@
 func (s *session) exchangeHello(st *yamux.Stream, dialed bool) error {
 	co := s.connector
 	own := Hello{
-		Version: co.ProtocolVersion, Name: co.Name, Incarnation: co.Incarnation, Zone: co.Zone, Region: co.Region, PeerAddr: co.Addr(),
+		Version: co.ProtocolVersion, Name: co.Name, Incarnation: co.Incarnation, Zone: co.Zone, Region: co.Region, PeerAddr: co.Addr(), Capacity: co.Capacity,
 	}
 	if own.PeerAddr.Addr().IsUnspecified() {
 		own.PeerAddr = netip.AddrPort{}
--- a/internal/fleet/registrar/gossip.go
+++ b/internal/fleet/registrar/gossip.go
@@ -34,9 +34,10 @@
 }
 
 // TakeGossip returns up to maxGossipEntries entries for the next heartbeat, the
-// newest news first, and counts them as sent. The remaining entries describe
-// unlisted members that this instance hears directly, so that other instances
-// keep them until the list of the platform has them.
+// newest news first, and counts them as sent. If the platform provides a list, the
+// remaining entries describe unlisted members that this instance hears directly, so
+// that other instances keep them until the list has them. Without a list, exchanges
+// of rosters do that.
 func (t *Table) TakeGossip(now time.Time) []*messenger.Gossip {
 	slices.SortStableFunc(t.news, func(a, b *newsItem) int {
 		return cmp.Or(b.queuedAt.Compare(a.queuedAt), cmp.Compare(a.sends, b.sends))
@@ -56,7 +57,7 @@
 	}
 	t.news = slices.DeleteFunc(t.news, func(n *newsItem) bool { return n.sends >= maxGossipSends })
 	for _, e := range t.entries {
-		if len(out) == maxGossipEntries {
+		if !t.listed || len(out) == maxGossipEntries {
 			break
 		}
 		heardDirectly := !e.Listed && !e.Self && !e.silent && now.Sub(e.lastDirect) <= t.Timeouts.Silence
--- a/internal/fleet/registrar/heartbeats.go
+++ b/internal/fleet/registrar/heartbeats.go
@@ -30,7 +30,7 @@
 	defer cancel()
 	if len(r.Seeds) > 0 {
 		r.tasks.Add(1)
-		go (&rosterExchanger{r}).run(ctx)
+		go (&rosterExchanger{registrar: r}).run(ctx)
 	}
 	ticker := time.NewTicker(r.HeartbeatPeriod / stepsPerPeriod)
 	defer ticker.Stop()
@@ -209,9 +209,8 @@
 		if h := m.GetHeartbeat(); h != nil {
 			r.updateTable(func(t *Table, now time.Time) { t.HandleHeartbeat(now, from, h) })
 		}
-		if roster := m.GetRoster(); roster != nil && !roster.GetReply() {
-			r.mergeRoster(roster)
-			if err := reply(r.newRosterMessage(true)); err != nil {
+		if roster := m.GetRoster(); roster != nil {
+			if err := r.answerRoster(roster, reply); err != nil {
 				return
 			}
 		}
--- a/internal/fleet/registrar/member.go
+++ b/internal/fleet/registrar/member.go
@@ -28,6 +28,7 @@
 	Region      string
 	PeerAddr    netip.AddrPort // Address at which it accepts other instances.
 	Incarnation uint64         // Start of its process in nanoseconds since 1970; 0 if unknown.
+	Capacity    float64        // Processor time relative to other instances; 0 if unknown.
 	State       State
 	Listed      bool      // The accepted list of the platform contains the instance.
 	Self        bool      // This instance.
--- a/internal/fleet/registrar/registrar.go
+++ b/internal/fleet/registrar/registrar.go
@@ -36,6 +36,7 @@
 	Incarnation     uint64 // Start of this process in nanoseconds since 1970.
 	Zone            string
 	Region          string
+	Capacity        float64          // Processor time relative to other instances; 0 if unknown.
 	PeerAddr        netip.AddrPort   // Address at which this instance accepts others.
 	Seeds           []netip.AddrPort // Instances to exchange rosters with first; empty if the platform lists the instances.
 	StreamOpener    StreamOpener
@@ -79,7 +80,7 @@
 	r.senders = make(map[string]*sender)
 	r.table.Timeouts = r.Timeouts
 	r.table.RecordChange = r.Audit.RecordChange
-	r.table.Self = Member{Name: r.Name, Zone: r.Zone, Region: r.Region, PeerAddr: r.PeerAddr, Incarnation: r.Incarnation}
+	r.table.Self = Member{Name: r.Name, Zone: r.Zone, Region: r.Region, PeerAddr: r.PeerAddr, Incarnation: r.Incarnation, Capacity: r.Capacity}
 	r.history.Store(new(ListHistory))
 	r.publishMembers(r.Clock())
 }
@@ -88,23 +89,29 @@
 // changed, and then calls OnChange.
 func (r *Registrar) updateTable(f func(t *Table, now time.Time)) {
 	r.initOnce.Do(r.init)
+	if !r.updateLockedTable(f) {
+		return
+	}
+	for _, f := range r.OnChange {
+		f()
+	}
+}
+
+// updateLockedTable calls f with the locked table and reports whether the members have
+// changed.
+func (r *Registrar) updateLockedTable(f func(t *Table, now time.Time)) (changed bool) {
 	r.mu.Lock()
+	defer r.mu.Unlock()
 	now := r.Clock()
 	hadNews := r.table.HasUnsentNews()
 	f(&r.table, now)
 	if !hadNews && r.table.HasUnsentNews() {
 		signal(r.newsQueued)
 	}
-	changed := r.table.visibleChanges != r.publishedChanges
-	if changed {
+	if changed = r.table.visibleChanges != r.publishedChanges; changed {
 		r.publishMembers(now)
 	}
-	r.mu.Unlock()
-	if changed {
-		for _, f := range r.OnChange {
-			f()
-		}
-	}
+	return changed
 }
 
 // publishMembers copies the members for readers that do not lock r.mu. The caller
--- a/internal/fleet/registrar/table.go
+++ b/internal/fleet/registrar/table.go
@@ -30,6 +30,8 @@
 
 	entries        map[string]*entry
 	news           []*newsItem
+	roster         rosterView
+	listed         bool   // A list of the platform was applied.
 	visibleChanges uint64 // Number of changes that Members shows.
 }
 
@@ -108,6 +110,7 @@
 // others are kept for Timeouts.Unlisted.
 func (t *Table) ApplyList(now time.Time, list []Member) {
 	t.init()
+	t.listed = t.listed || len(list) > 0
 	seen := make(map[string]bool, len(list))
 	for _, l := range list {
 		seen[l.Name] = true
@@ -170,7 +173,7 @@
 			return // Without an address no instance could reach it.
 		}
 		e = &entry{Member: Member{
-			Name: from.Name, Zone: from.Zone, Region: from.Region, PeerAddr: from.PeerAddr, Incarnation: h.GetIncarnation(),
+			Name: from.Name, Zone: from.Zone, Region: from.Region, PeerAddr: from.PeerAddr, Incarnation: h.GetIncarnation(), Capacity: from.Capacity,
 		}}
 		t.entries[e.Name] = e
 		t.note(now, e, "heard, not listed", "unknown", "joined")
