Pass records on by relays of each zone and bound their age

Cause: two readers fed all instances of the region twice, four fifths of it across zones; a follower noticed a dead source after 1.2 s, instances followed each other in circles after a loss, all avoided good sources together, and a taker-over of the store waited 1.3 s to learn that the store did not answer it. Change: above 32 instances, two relays of each zone follow the readers and serve the zone; those with more capacity go first. The second source sends revisions only, and records on demand. Feeds name the reader that the store confirmed the records to; a circle is seen by it. Only those that take over leave stale sources at once. Silence counts after 0.5 s, the first watch of a taker-over lasts 0.3 s at most. A start is read page by page and stops when another instance delivers; with bootstrap most instances do not read at all.

--- a/internal/instance/runner/components.go
+++ b/internal/instance/runner/components.go
@@ -75,7 +75,8 @@
 func (c *components) initPlatform() {
 	if c.platform != nil {
 		c.recordWatcher = watcher.Watcher{
-			Store: c.platform.Store, Decoder: c.platform.Decoder, Name: c.settings.Name, Region: c.settings.Region,
+			Store: c.platform.Store, Decoder: c.platform.Decoder, Name: c.settings.Name, Zone: c.settings.Zone, Region: c.settings.Region,
+			HasSeeds: len(c.settings.Seeds) > 0, Bootstrap: c.settings.Bootstrap,
 			Fleet: &c.members, StreamOpener: &c.connector, BundleSink: &c.bundleStore, OnChange: c.applyList, Audit: &c.audit, Log: c.log,
 		}
 		return
@@ -88,7 +89,7 @@
 func (c *components) initFleet() {
 	s := c.settings
 	c.connector = connector.Connector{
-		Name: s.Name, Incarnation: c.incarnation, Zone: s.Zone, Region: s.Region, ListenAddr: s.Peers,
+		Name: s.Name, Incarnation: c.incarnation, Zone: s.Zone, Region: s.Region, Capacity: s.Capacity, ListenAddr: s.Peers,
 		TLS: s.TLS, Plain: s.Plain, Audit: &c.audit, OnPeerLost: c.members.HandleLostSession,
 		Handlers: map[connector.StreamKind]connector.Handler{
 			connector.ControlStream: &c.members,
@@ -98,7 +99,7 @@
 		},
 	}
 	c.members = registrar.Registrar{
-		Name: s.Name, Incarnation: c.incarnation, Zone: s.Zone, Region: s.Region, PeerAddr: s.Peers, Seeds: s.Seeds,
+		Name: s.Name, Incarnation: c.incarnation, Zone: s.Zone, Region: s.Region, Capacity: s.Capacity, PeerAddr: s.Peers, Seeds: s.Seeds,
 		StreamOpener: &c.connector, Audit: &c.audit, MessageHandlers: []registrar.MessageHandler{&c.distributor, probeResultHandler{c}},
 		PauseCheck: c.pauseDetector.CheckPause,
 	}
@@ -116,7 +117,7 @@
 
 // countedStreamKinds are the kinds of streams between instances whose bytes are
 // counted in the status and the metrics.
-var countedStreamKinds = []connector.StreamKind{connector.ControlStream, connector.GrantStream, connector.CallStream}
+var countedStreamKinds = []connector.StreamKind{connector.ControlStream, connector.GrantStream, connector.CallStream, connector.FeedStream}
 
 func (c *components) initRouting() {
 	s := c.settings
--- /dev/null
+++ b/internal/platform/watcher/follower.go
@@ -0,0 +1,143 @@
+package watcher
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"sardinelever.example/sardinelever/internal/fleet/connector"
+	"sardinelever.example/sardinelever/internal/fleet/messenger"
+	"sardinelever.example/sardinelever/internal/fleet/registrar"
+)
+
+// followMember reads the feed of m until it times out, its records are stale or
+// another source is to be used. After a failure, m is avoided for a while.
+func (r *sourceReader) followMember(ctx context.Context, m registrar.Member) {
+	w, start := r.Watcher, time.Now()
+	err := r.readFeed(ctx, m)
+	if err == nil || ctx.Err() != nil {
+		return
+	}
+	w.mu.Lock()
+	w.avoidSource(m.Name, time.Now(), time.Since(start) >= stableFeedTime)
+	if !errors.Is(err, errStale) {
+		w.unreachableSources++
+	}
+	w.mu.Unlock()
+	w.Log.Warn().Str("instance", m.Name).Err(err).Uint64("revision", w.Revision()).Msg("platform: stopped following the records of another instance")
+}
+
+// avoidSource keeps the named instance from being followed for a while, which doubles
+// with each failure unless its feed was stable. The caller must hold w.mu.
+func (w *Watcher) avoidSource(name string, now time.Time, stable bool) {
+	previous := w.avoided[name].duration
+	if stable {
+		previous = 0
+	}
+	duration := min(max(minAvoidDuration, 2*previous), maxAvoidDuration)
+	w.avoided[name] = avoidance{now.Add(duration), duration}
+}
+
+// readFeed applies the messages of the feed of m. It returns nil when another
+// source is to be used.
+func (r *sourceReader) readFeed(ctx context.Context, m registrar.Member) error {
+	w := r.Watcher
+	openCtx, cancel := context.WithTimeout(ctx, feedOpenTimeout)
+	conn, err := w.StreamOpener.OpenStream(openCtx, m.PeerAddr, connector.FeedStream)
+	cancel()
+	if err != nil {
+		return errors.Wrap(err, "feed")
+	}
+	defer func() { _ = conn.Close() }()
+	defer context.AfterFunc(ctx, func() { _ = conn.Close() })()
+	if err := r.subscribe(conn); err != nil {
+		return err
+	}
+	w.Log.Info().Str("instance", m.Name).Uint64("revision", w.Revision()).Msg("platform: following the records of another instance")
+	in, start := bufio.NewReader(conn), time.Now()
+	for {
+		_ = conn.SetReadDeadline(time.Now().Add(feedTimeout))
+		message := new(messenger.Feed)
+		if err := messenger.ReadMessage(in, message); err != nil {
+			return errors.Wrap(errFeedEnded, err.Error())
+		}
+		if message.GetAt() == 0 && time.Since(start) > feedTimeout {
+			return errNoRecords
+		}
+		stale := message.GetAt() > 0 && w.applyFeedMessage(message)
+		r.recordMessage(message.GetAt() > 0 && !stale)
+		if r.needsSubscription(message) {
+			if err := r.subscribe(conn); err != nil {
+				return err
+			}
+		}
+		w.applyHeldDeletions()
+		s, _ := r.chooseSource(time.Now())
+		switch {
+		case stale && r.mayLeave(m.Name):
+			return errStale
+		case s == nil || s.Name != m.Name:
+			return nil
+		}
+	}
+}
+
+// subscribe asks for the records after the known revision, or for the revision alone
+// when the other reader delivers the records.
+func (r *sourceReader) subscribe(conn net.Conn) error {
+	revision, standby := r.subscription()
+	r.standby = standby
+	_ = conn.SetWriteDeadline(time.Now().Add(feedTimeout))
+	return messenger.WriteMessage(conn, &messenger.Subscribe{After: revision, Standby: standby})
+}
+
+// subscription returns the known revision and whether the feed of this reader is the
+// standby one: that of the second reader, unless its source was ahead.
+func (r *sourceReader) subscription() (revision uint64, standby bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	revision, loaded := r.table.Revision()
+	return revision, r.index > 0 && loaded && r.sourceRevision <= revision
+}
+
+// needsSubscription reports whether a message shows that the feed has to carry the
+// records, because its source is ahead of the own records, or no longer has to.
+func (r *sourceReader) needsSubscription(message *messenger.Feed) bool {
+	r.sourceRevision = message.GetAt()
+	_, standby := r.subscription()
+	return standby != r.standby
+}
+
+// applyFeedMessage applies one message of a feed and reports whether its sender is of
+// no use as a source: it has been without contact to the store for staleAge or longer,
+// or what it knows came from this instance.
+func (w *Watcher) applyFeedMessage(message *messenger.Feed) (stale bool) {
+	age := time.Duration(message.GetAge())
+	stale = age >= staleAge || message.GetReader() == w.Name
+	confirmedBy := message.GetReader()
+	if message.GetReader() == w.Name || message.GetStandby() && message.GetAt() > w.Revision() {
+		confirmedBy = ""
+	}
+	batch := Batch{Revision: message.GetAt(), Records: make([]Record, 0, len(message.GetRecords()))}
+	for _, r := range message.GetRecords() {
+		batch.Records = append(batch.Records, Record{Key: r.GetKey(), Value: r.GetValue(), Revision: r.GetRevision(), Deleted: r.GetDeleted()})
+	}
+	w.updateTable(time.Now().Add(-age), confirmedBy, func(now time.Time) []Record {
+		switch {
+		case message.GetStandby():
+			return nil
+		case message.GetFull():
+			return w.table.LoadAll(now, batch)
+		}
+		return w.table.ApplyChanges(now, batch)
+	})
+	if !stale {
+		w.mu.Lock()
+		w.unreachableSources = 0
+		w.mu.Unlock()
+	}
+	return stale
+}
--- a/internal/platform/watcher/record.go
+++ b/internal/platform/watcher/record.go
@@ -26,11 +26,18 @@
 	Revision uint64
 }
 
+// Page is a part of all records.
+type Page struct {
+	Batch
+	Next string // Key after which the next page begins; empty at the end.
+}
+
 // Store reads the platform's store.
 type Store interface {
-	// ReadAll returns all records. With stale set the result is cheaper for the
-	// store and may be seconds old.
-	ReadAll(ctx context.Context, stale bool) (Batch, error)
+	// ReadPage returns the records whose keys follow after, or the first ones when
+	// it is empty, as many as the store sends at once. With stale set the result is
+	// cheaper for the store and may be seconds old.
+	ReadPage(ctx context.Context, after string, stale bool) (Page, error)
 	// Watch returns the changes after a revision as soon as there are any, or an
 	// empty batch after wait. The error is ErrCompacted when the store no longer
 	// has all of them.
--- a/internal/platform/watcher/source_reader.go
+++ b/internal/platform/watcher/source_reader.go
@@ -2,12 +2,13 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
 
-	"sardinelever.example/sardinelever/internal/fleet/hasher"
 	"sardinelever.example/sardinelever/internal/fleet/registrar"
+	"sardinelever.example/sardinelever/internal/flow/recoverer"
 	"sardinelever.example/sardinelever/internal/flow/sleeper"
 )
 
@@ -16,7 +17,10 @@
 // up to date while one source fails or loses contact to the store.
 type sourceReader struct {
 	*Watcher
-	index int // 0 or 1, the index in Watcher.sourceNames.
+	index          int    // 0 or 1, the index in Watcher.sources.
+	standby        bool   // The feed carries no records.
+	sourceRevision uint64 // Revision that the last message of the feed named.
+	watching       bool   // The last source was the store.
 }
 
 // run reads until ctx is done.
@@ -31,19 +35,26 @@
 // readOnce loads all records, watches the store once or follows another instance
 // until its feed ends. Without a source it waits for sourceCheckPeriod.
 func (r *sourceReader) readOnce(ctx context.Context) {
+	defer recoverer.Catch("reading of records", func() { sleeper.Sleep(ctx, maxRetryDelay) })
 	now := time.Now()
 	r.mu.Lock()
 	_, loaded := r.table.Revision()
 	r.mu.Unlock()
 	if !loaded && r.index == 0 && r.mayCallStore(now) {
-		r.loadRecords(ctx, true)
+		r.loadFirstRecords(ctx)
 		return
 	}
 	source, self := r.chooseSource(now)
 	switch {
 	case self && loaded:
-		r.watchStore(ctx)
+		timeout := watchTimeout
+		if !r.watching {
+			timeout = firstWatchTimeout
+		}
+		r.watching = true
+		r.recordMessage(r.watchStore(ctx, timeout))
 	case source != nil:
+		r.watching = false
 		r.followMember(ctx, *source)
 	default:
 		sleeper.Sleep(ctx, sourceCheckPeriod)
@@ -58,44 +69,128 @@
 }
 
 // chooseSource returns the instance to follow, or sets self when this instance is to
-// read the store. It returns neither when there is no source. The sources are the
-// first members of the region in rendezvous order, without those that failed
-// recently; the two readers of an instance never use the same one. A source that is
-// still among them is kept.
+// read the store. It returns neither when there is no source. The two readers of an
+// instance never use the same one.
 func (r *sourceReader) chooseSource(now time.Time) (m *registrar.Member, self bool) {
 	members := r.Fleet.UsableMembers("", r.Region)
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	names := make([]string, 0, len(members)+1)
-	for i := range members {
-		n := members[i].Name
-		if n != r.Name && !now.Before(r.avoided[n].until) {
-			names = append(names, n)
-		}
-	}
-	if !now.Before(r.nextStoreCall) {
-		names = append(names, r.Name)
-	}
-	names = hasher.RankNames("records", names)
-	names = slices.DeleteFunc(names[:min(sourceCount, len(names))], func(n string) bool {
-		return n == r.sourceNames[sourceCount-1-r.index]
-	})
+	current, other := &r.sources[r.index], &r.sources[sourceCount-1-r.index]
+	names := slices.DeleteFunc(r.sourceNamesAt(members, now), func(n string) bool { return n == other.name })
 	if len(names) == 0 {
-		r.sourceNames[r.index] = ""
+		*current = source{}
 		return nil, false
 	}
-	name := names[0]
-	if slices.Contains(names, r.sourceNames[r.index]) {
-		name = r.sourceNames[r.index]
+	if !keepSource(current, other, names, now) {
+		*current = source{name: names[0], since: now}
 	}
-	r.sourceNames[r.index] = name
-	if name == r.Name {
+	if current.name == r.Name {
 		return nil, true
 	}
 	for i := range members {
-		if members[i].Name == name {
+		if members[i].Name == current.name {
 			return &members[i], false
 		}
 	}
 	return nil, false
 }
+
+// keepSource reports whether a reader is to keep its current source, which has to be
+// among names: the preferred one, or one with contact to the store. After a failure
+// of the preferred ones, only one reader at a time returns to them, because they may
+// not have recovered.
+func keepSource(current, other *source, names []string, now time.Time) bool {
+	i := slices.Index(names, current.name)
+	switch {
+	case i < 0:
+		return false
+	case i == 0:
+		return true
+	}
+	return current.fresh && (!other.fresh || now.Sub(current.since) < stableFeedTime || now.Sub(other.since) < returnInterval)
+}
+
+// recordMessage records whether the current source has contact to the store.
+func (r *sourceReader) recordMessage(fresh bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.sources[r.index].fresh = fresh
+}
+
+// sourceNamesAt returns the names of the sources to use, the preferred one first. The
+// caller must hold w.mu.
+func (w *Watcher) sourceNamesAt(members []registrar.Member, now time.Time) []string {
+	s := w.rankedSources(members)
+	mayCallStore := !now.Before(w.nextStoreCall)
+	names := s.Candidates(w.avoidFunc(now))
+	if !mayCallStore {
+		names = slices.DeleteFunc(names, func(n string) bool { return n == w.Name })
+	}
+	switch {
+	case now.Before(w.peersExpectedBy) && (len(s.Members) == 1 || w.Bootstrap):
+		return nil // Too few other instances are known yet.
+	case !mayCallStore || slices.Contains(names, w.Name):
+	case w.unreachableSources >= maxUnreachable, now.After(w.storeCallBy):
+		names = slices.Insert(names, 0, w.Name)
+	}
+	if len(names) > 0 {
+		return names
+	}
+	// All are avoided. Those whose turn is next are used meanwhile: a source that is
+	// stale tells when its contact to the store is back.
+	names = slices.DeleteFunc(s.Candidates(func(string) bool { return false }), func(n string) bool { return n == w.Name })
+	slices.SortStableFunc(names, func(a, b string) int { return w.avoided[a].until.Compare(w.avoided[b].until) })
+	return names
+}
+
+// rankedSources returns the ranking of members, which is kept until they change. The
+// caller must hold w.mu.
+func (w *Watcher) rankedSources(members []registrar.Member) *Sources {
+	if w.ranking != nil && len(members) > 0 && w.rankedMembers == &members[0] && w.rankedCount == len(members) {
+		return w.ranking
+	}
+	self := registrar.Member{Name: w.Name, Zone: w.Zone, Region: w.Region}
+	w.ranking, w.rankedCount = &Sources{Self: self, Members: members}, len(members)
+	if w.rankedCount > 0 {
+		w.rankedMembers = &members[0]
+	}
+	if !slices.ContainsFunc(members, func(m registrar.Member) bool { return m.Name == w.Name }) {
+		// An instance that shuts down is no member, but still needs its records.
+		w.ranking.Members = append(slices.Clip(members), self)
+	}
+	return w.ranking
+}
+
+// avoidFunc returns a function that reports whether the named instance is avoided at now.
+// The caller must hold w.mu.
+func (w *Watcher) avoidFunc(now time.Time) func(name string) bool {
+	return func(n string) bool { return now.Before(w.avoided[n].until) }
+}
+
+// mayLeave reports whether the reader is to leave its stale source, the one named. An
+// instance that takes over from those that read the store does so at once. The others
+// stay for stalePatience, because their sources regain contact through it; if all
+// looked for other sources, they would avoid the good ones too.
+func (r *sourceReader) mayLeave(name string) bool {
+	now := time.Now()
+	members := r.Fleet.UsableMembers("", r.Region)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	takesOver := slices.Contains(r.rankedSources(members).regionCandidates(r.avoidFunc(now)), r.Name)
+	if !takesOver && now.Sub(r.table.ConfirmedAt()) < staleAge+stalePatience {
+		return false
+	}
+	other := r.sources[sourceCount-1-r.index].name
+	return slices.ContainsFunc(r.sourceNamesAt(members, now), func(n string) bool {
+		return n != name && n != other && !now.Before(r.avoided[n].until)
+	})
+}
+
+// postponeStoreCall sets when this instance reads the store although others are to do
+// so, which happens only if none of them has contact to it. The time is spread over
+// the fleet, so that its instances together make at most about lonelyCallsPerSecond.
+// The caller must hold w.mu.
+func (w *Watcher) postponeStoreCall(now time.Time, fleetSize int) {
+	spread := time.Duration(float64(fleetSize) / lonelyCallsPerSecond * float64(time.Second))
+	w.storeCallBy = now.Add(staleAge + time.Second + rand.N(spread+1))
+}
--- a/internal/platform/watcher/table.go
+++ b/internal/platform/watcher/table.go
@@ -14,6 +14,7 @@
 	HoldTime time.Duration // Time after an outage of the store for which deletions are held; 0 means 2.2s.
 
 	records        map[string]*tableEntry
+	changeLog      []*tableEntry     // Entries in the order of their sequence, including replaced ones.
 	heldDeletions  map[string]Record // Deletions that are applied after holdUntil unless a newer record arrives, by key.
 	revision       uint64            // Revision up to which all changes are known.
 	sequence       uint64            // Number of the last change to this table. Revisions cannot tell what a follower lacks, because a held deletion is applied long after its revision.
@@ -38,6 +39,9 @@
 	minOutage = 2500 * time.Millisecond
 	// maxTombstones bounds the deleted records that are kept for followers.
 	maxTombstones = 1024
+	// minChangeLog is the number of replaced entries that the log of changes may hold
+	// beside as many as there are records.
+	minChangeLog = 64
 )
 
 // Revision returns the revision up to which all changes are known; ok is false
@@ -121,12 +125,19 @@
 // sequence is above 0, after the change with that number. It also returns the number
 // of the last change. Full is set when the result has all records that exist.
 func (t *Table) ChangesSince(after, sequence uint64) (records []Record, lastSequence uint64, full bool) {
-	full = sequence == 0 && (after == 0 || after < t.prunedRevision)
-	for _, e := range t.records {
-		switch {
-		case full && e.Deleted:
-		case full, sequence > 0 && e.sequence > sequence, sequence == 0 && e.Revision > after:
-			records = append(records, e.Record)
+	if sequence > 0 {
+		first, _ := slices.BinarySearchFunc(t.changeLog, sequence+1, func(e *tableEntry, n uint64) int { return cmp.Compare(e.sequence, n) })
+		for _, e := range t.changeLog[first:] {
+			if t.records[e.Key] == e {
+				records = append(records, e.Record)
+			}
+		}
+	} else {
+		full = after == 0 || after < t.prunedRevision
+		for _, e := range t.records {
+			if full && !e.Deleted || !full && e.Revision > after {
+				records = append(records, e.Record)
+			}
 		}
 	}
 	slices.SortFunc(records, func(a, b Record) int { return cmp.Compare(a.Revision, b.Revision) })
@@ -169,7 +180,12 @@
 
 func (t *Table) storeRecord(r Record) {
 	t.sequence++
-	t.records[r.Key] = &tableEntry{r, t.sequence}
+	e := &tableEntry{r, t.sequence}
+	t.records[r.Key] = e
+	t.changeLog = append(t.changeLog, e)
+	if len(t.changeLog) > 2*len(t.records)+minChangeLog {
+		t.changeLog = slices.DeleteFunc(t.changeLog, func(e *tableEntry) bool { return t.records[e.Key] != e })
+	}
 }
 
 // pruneTombstones removes the older half of the tombstones when there are too many.
--- a/internal/platform/watcher/watcher_test.go
+++ b/internal/platform/watcher/watcher_test.go
@@ -1,15 +1,19 @@
 package watcher_test
 
 import (
+	"cmp"
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"net/netip"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
 	"time"
 
+	"github.com/phuslu/log"
 	"github.com/pkg/errors"
 
 	"sardinelever.example/sardinelever/internal/fleet/connector"
@@ -41,6 +45,7 @@
 	revision          uint64
 	compactedRevision uint64 // Changes up to this revision are no longer known.
 	callCount         int
+	pageSize          int // Number of records in a page; 0 means all.
 	changed           chan struct{}
 }
 
@@ -89,11 +94,18 @@
 	return nil
 }
 
-func (s *storeView) ReadAll(context.Context, bool) (watcher.Batch, error) {
+func (s *storeView) ReadPage(_ context.Context, after string, _ bool) (watcher.Page, error) {
 	s.fakeStore.mu.Lock()
 	defer s.fakeStore.mu.Unlock()
 	s.callCount++
-	return s.changesSince(0, true), s.checkReachable()
+	page := watcher.Page{Batch: s.changesSince(0, true)}
+	slices.SortFunc(page.Records, func(a, b watcher.Record) int { return cmp.Compare(a.Key, b.Key) })
+	page.Records = slices.DeleteFunc(page.Records, func(r watcher.Record) bool { return r.Key <= after })
+	if s.pageSize > 0 && len(page.Records) > s.pageSize {
+		page.Records = page.Records[:s.pageSize]
+		page.Next = page.Records[s.pageSize-1].Key
+	}
+	return page, s.checkReachable()
 }
 
 func (s *storeView) Watch(ctx context.Context, after uint64, wait time.Duration) (watcher.Batch, error) {
@@ -362,3 +374,19 @@
 		f.waitForServers(t, "a change while half of the instances are turned away", n)
 	}
 }
+
+// TestPagedStart guards against records that are lost because a change happens between
+// the pages of the first read.
+func TestPagedStart(t *testing.T) {
+	s := newFakeStore()
+	s.pageSize = 2
+	for n := range 9 {
+		s.putRecord("s/"+strings.Repeat("x", n+1), false)
+	}
+	f := newFakeFleet(t, s, 3)
+	s.putRecord("s/x", true)
+	f.waitForServers(t, "all pages", 8)
+}
+
+// discardLogger drops all lines.
+var discardLogger = log.Logger{Level: log.ErrorLevel, Writer: log.IOWriter{Writer: io.Discard}}
