Take no answer without the call's name on a reused connection

Cause: an answer that names no call was accepted as that of the current one. A late second copy without its name on a connection in use again, or the answer to a probe after one, thus reached the next caller; a copied refusal was even a proof that the next call had not run, so that it was sent again and could run twice. Change: where backend servers name the call in each answer, one without a name on a reused connection leaves the outcome unknown. A probe refuses an answer that names a call.

--- /dev/null
+++ b/internal/call/sender/late_response_test.go
@@ -0,0 +1,111 @@
+package sender_test
+
+import (
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"sardinelever.example/sardinelever/internal/call/sender"
+	"sardinelever.example/sardinelever/internal/call/translator"
+)
+
+// lateServer answers the first request on a connection and sends one more response,
+// late, when the next request arrives. Later requests are answered as they should be.
+type lateServer struct{ late string }
+
+func (s *lateServer) answer(c net.Conn, r *http.Request, _, requestNumber int) bool {
+	if requestNumber == 1 {
+		return writeText(c, "HTTP/1.1 200 OK\r\nId: "+r.Header.Get("Id")+"\r\nContent-Length: 5\r\n\r\nfirst")
+	}
+	for i := range s.late { // A byte at a time, as slow connections deliver them.
+		if !writeText(c, s.late[i:i+1]) {
+			return false
+		}
+	}
+	return writeText(c, "HTTP/1.1 200 OK\r\nId: "+r.Header.Get("Id")+"\r\nContent-Length: 5\r\n\r\nother")
+}
+
+// TestLateResponse guards against a second copy of an answer, sent late on a connection
+// that is in use again, that is taken for the answer to the next call: as a success, or
+// as a proof that the call did not run.
+func TestLateResponse(t *testing.T) {
+	for _, test := range []struct{ name, late string }{
+		{"copy", "HTTP/1.1 200 OK\r\nId: one\r\nContent-Length: 5\r\n\r\nfirst"},
+		{"copy without a name", "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nfirst"},
+		{"refusal without a name", "HTTP/1.1 503 X\r\nProof: 1\r\nContent-Length: 0\r\n\r\n"},
+		{"other server", "HTTP/1.1 421 X\r\nContent-Length: 0\r\n\r\n"},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			b := startServer(t, (&lateServer{late: test.late}).answer)
+			s := &sender.Sender{Dialect: strictDialect{}}
+			first := newAttempt(b, http.MethodPost, "", false)
+			first.Call.RequestID = "one"
+			first.Request.Header.Set("Id", "one")
+			resp, err := s.Send(t.Context(), first)
+			if got := readBody(t, resp, err); got != "first" {
+				t.Fatalf("got %q, want first", got)
+			}
+			for b.connCount.Load() == 1 && b.requestCount.Load() == 1 { // Until the connection is reused.
+				second := newAttempt(b, http.MethodPost, "", false)
+				second.Call.RequestID = "two"
+				second.Request.Header.Set("Id", "two")
+				_, err = s.Send(t.Context(), second)
+			}
+			if b.connCount.Load() > 1 {
+				t.Skip("the connection was not reused in time")
+			}
+			var f *sender.Failure
+			if !errors.As(err, &f) || f.Outcome != sender.Unknown {
+				t.Errorf("got %v for the next call, want unknown", err)
+			}
+			third := newAttempt(b, http.MethodPost, "", false)
+			third.Call.RequestID = "three"
+			third.Request.Header.Set("Id", "three")
+			resp, err = s.Send(t.Context(), third)
+			if got := readBody(t, resp, err); got != "first" {
+				t.Errorf("got %q, want the first answer on a new connection", got)
+			}
+		})
+	}
+}
+
+// TestLateResponseToProbe guards against a late answer to a call that counts as the
+// load report of its server, and against the answer to a probe that becomes that of a
+// call.
+func TestLateResponseToProbe(t *testing.T) {
+	b := startServer(t, func(c net.Conn, r *http.Request, _, requestNumber int) bool {
+		if requestNumber == 1 && r.URL.Path != "/load" {
+			return writeText(c, "HTTP/1.1 200 OK\r\nId: one\r\nContent-Length: 5\r\n\r\nfirst")
+		}
+		if r.URL.Path == "/load" && requestNumber > 1 {
+			return writeText(c, "HTTP/1.1 200 OK\r\nId: one\r\nContent-Length: 5\r\n\r\nfirst") && writeText(c, "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nload")
+		}
+		return writeText(c, "HTTP/1.1 200 OK\r\nId: "+r.Header.Get("Id")+"\r\nContent-Length: 5\r\n\r\nother")
+	})
+	s := &sender.Sender{Dialect: strictDialect{}}
+	first := newAttempt(b, http.MethodGet, "", true)
+	first.Call.RequestID = "one"
+	resp, err := s.Send(t.Context(), first)
+	if got := readBody(t, resp, err); got != "first" {
+		t.Fatalf("got %q, want first", got)
+	}
+	time.Sleep(20 * time.Millisecond) // The connection goes back to the pool; without it the probe opens one.
+	var metadata translator.ResponseMetadata
+	metadata, err = s.ProbeServer(t.Context(), b.addr(), "/load", 250)
+	if b.connCount.Load() == 1 && err == nil {
+		t.Errorf("got %+v from a late answer to a call, want an error", metadata)
+	}
+	second := newAttempt(b, http.MethodGet, "", true)
+	second.Call.RequestID = "two"
+	second.Request.Header.Set("Id", "two")
+	resp, err = s.Send(t.Context(), second)
+	if err != nil {
+		return // Reported as it is; it must not be the answer to the probe.
+	}
+	if got := readBody(t, resp, err); got != "first" && got != "other" {
+		t.Errorf("got %q, want an answer to the call", got)
+	}
+}
--- a/internal/call/sender/probe.go
+++ b/internal/call/sender/probe.go
@@ -35,6 +35,11 @@
 		_ = conn.Close()
 		return translator.ResponseMetadata{}, errors.Wrap(err, "probe")
 	}
+	metadata := s.dialect().ParseResponse(resp.StatusCode, resp.Header)
+	if metadata.RequestID != "" {
+		_ = conn.Close()
+		return translator.ResponseMetadata{}, errors.New("probe: late response to a call")
+	}
 	conn.tracked.endExchange()
-	return s.dialect().ParseResponse(resp.StatusCode, resp.Header), nil
+	return metadata, nil
 }
--- a/internal/call/sender/sender.go
+++ b/internal/call/sender/sender.go
@@ -147,15 +147,16 @@
 		return nil, newFailure(ctx, Unknown, "read", err)
 	}
 	s.trackBody(a, conn, resp)
-	return resp, s.checkResponse(a, resp)
+	return resp, s.checkResponse(a, resp, reused)
 }
 
 // checkResponse returns the failure that the status and the header of resp
-// state, or nil when resp is the response to the call.
-func (s *Sender) checkResponse(a *Attempt, resp *http.Response) error {
+// state, or nil when resp is the response to the call. On a reused connection, a
+// response without the ID of the call may be a late one to an earlier call or probe.
+func (s *Sender) checkResponse(a *Attempt, resp *http.Response, reused bool) error {
 	metadata := s.dialect().ParseResponse(resp.StatusCode, resp.Header)
 	switch {
-	case metadata.RequestID != "" && metadata.RequestID != a.Call.RequestID:
+	case metadata.RequestID != "" && metadata.RequestID != a.Call.RequestID, reused && metadata.Unnamed && a.Call.RequestID != "":
 		return &Failure{Outcome: Unknown, Reason: "foreign", Err: errors.Errorf("response of backend server %s belongs to another call", a.Server)}
 	case metadata.Misdirected:
 		return &Failure{Outcome: Rejected, Reason: "moved", Err: errors.Errorf("backend server %s is no longer at address %s, which another one has", a.ServerName, a.Server)}
--- a/internal/call/sender/sender_test.go
+++ b/internal/call/sender/sender_test.go
@@ -287,7 +287,7 @@
 
 func (strictDialect) ParseResponse(status int, h http.Header) translator.ResponseMetadata {
 	return translator.ResponseMetadata{
-		RunningCalls: -1, RequestID: h.Get("Id"), Misdirected: status == http.StatusMisdirectedRequest,
+		RunningCalls: -1, RequestID: h.Get("Id"), Unnamed: h.Get("Id") == "", Misdirected: status == http.StatusMisdirectedRequest,
 		Refused: h.Get("Proof") != "", UnprovenRefusal: status == http.StatusServiceUnavailable && h.Get("Proof") == "",
 	}
 }
--- a/internal/call/translator/dialect.go
+++ b/internal/call/translator/dialect.go
@@ -61,12 +61,15 @@
 	// UnprovenRefusal is set when the status says that the call did not run, and
 	// the header that proves it is missing.
 	UnprovenRefusal bool
-	Draining        bool          // The backend server asks for no new calls.
-	RunningCalls    int           // Calls that run on the backend server; -1 when unknown.
-	WaitingCalls    int           // Calls that wait on the backend server.
-	Slowdown        float64       // Time that work takes now on the backend server, relative to its usual time; 0 when unknown.
-	RequestID       string        // Identifies the attempt that the response belongs to; empty when it is not given.
-	IdleTimeout     time.Duration // Idle time after which the backend server closes the connection; 0 when unknown.
+	// Unnamed is set when backend servers return the RequestID with each response,
+	// and this response has none.
+	Unnamed      bool
+	Draining     bool          // The backend server asks for no new calls.
+	RunningCalls int           // Calls that run on the backend server; -1 when unknown.
+	WaitingCalls int           // Calls that wait on the backend server.
+	Slowdown     float64       // Time that work takes now on the backend server, relative to its usual time; 0 when unknown.
+	RequestID    string        // Identifies the attempt that the response belongs to; empty when it is not given.
+	IdleTimeout  time.Duration // Idle time after which the backend server closes the connection; 0 when unknown.
 }
 
 // ReportedCalls returns the number of calls that run or wait on the backend
