--- a/cmd/sardinelever/process_test.go
+++ b/cmd/sardinelever/process_test.go
@@ -73,9 +73,14 @@
 
 func startDeployment(t *testing.T) *deployment {
 	d := &deployment{arrived: make(chan bool, 1), release: make(chan bool, 1), answer: make(chan string, 1)}
-	testbed := &provisioner.Testbed{Groups: []provisioner.ServerGroup{{
-		Service: parser.Service{Name: "guidance", Slots: 2}, ServerCount: 1, ServiceTime: d.holdCall,
-	}}}
+	d.start(t, time.Millisecond, provisioner.ServerGroup{Service: parser.Service{Name: "guidance", Slots: 2}, ServerCount: 1, ServiceTime: d.holdCall})
+	return d
+}
+
+// start starts the instance process with the given notice time and backend servers and
+// waits until it is ready.
+func (d *deployment) start(t *testing.T, notice time.Duration, servers provisioner.ServerGroup) {
+	testbed := &provisioner.Testbed{Groups: []provisioner.ServerGroup{servers}}
 	if err := testbed.Start(); err != nil {
 		t.Fatal(err)
 	}
@@ -86,7 +91,7 @@
 		t.Fatal(err)
 	}
 	d.binary = l.BinaryPath()
-	settings := &parser.Settings{Name: "one", Zone: "a", Platform: testbed.PlatformURL, Notice: parser.Duration(time.Millisecond), Plain: true}
+	settings := &parser.Settings{Name: "one", Zone: "a", Platform: testbed.PlatformURL, Notice: parser.Duration(notice), Plain: true}
 	err := launcher.ReservePorts(settings)
 	if err != nil {
 		t.Fatal(err)
@@ -100,7 +105,6 @@
 	if err := d.WaitReady(20 * time.Second); err != nil {
 		t.Fatal(err)
 	}
-	return d
 }
 
 func (d *deployment) kill() {
