Make the pause test wait for the first check

Cause: the heartbeats that the test waits for may arrive before Run has made its first check; the clock is then moved before there is a check to compare with, and no pause is ever reported. Change: the test makes a first check itself. The check and its bound are as before. The product is not touched: a pause before the first check has nothing to drop.

--- a/internal/fleet/registrar/fleet_test.go
+++ b/internal/fleet/registrar/fleet_test.go
@@ -178,6 +178,7 @@
 	all := append(others, x)
 	fleetrunner.DistributeList(all, all, nil)
 	waitUntil(t, "heartbeats", func() bool { return x.FindMember("i0").Incarnation > 0 })
+	d.CheckPause() // A pause is one between two checks, and Run may not have made its first.
 	slept.Store(int64(time.Hour))
 	if got := <-gaps; got < time.Hour {
 		t.Errorf("got a pause of %v, want at least an hour", got)
