--- /dev/null
+++ b/internal/platform/watcher/publication.go
@@ -0,0 +1,104 @@
+package watcher
+
+import (
+	"net/netip"
+	"strconv"
+	"time"
+
+	"sardinelever.example/sardinelever/internal/operator/auditor"
+	"sardinelever.example/sardinelever/internal/platform/reader"
+)
+
+// publishChanges passes changed bundles to BundleSink and publishes the list of backend
+// servers. The caller must hold w.updateMu.
+func (w *Watcher) publishChanges(revision uint64, live, changed []Record) {
+	list := &reader.List{Time: time.Now(), Entries: w.decodeEntries(live)}
+	for _, r := range changed {
+		if r.Deleted {
+			delete(w.decodedEntries, r.Key)
+			w.auditRecord(r.Key, "deleted", revision)
+			continue
+		}
+		w.offerBundle(r)
+	}
+	w.latestList.Store(list)
+	if w.OnChange != nil {
+		w.OnChange(list)
+	}
+}
+
+// decodeEntries returns the backend servers in records. Only one process at a time
+// can use an address, so of several entries with the same address the one that
+// started last is returned.
+func (w *Watcher) decodeEntries(records []Record) []reader.Entry {
+	var out []reader.Entry
+	indexByAddress := make(map[netip.AddrPort]int)
+	for _, r := range records {
+		e, ok := w.decodeEntry(r)
+		if !ok {
+			continue
+		}
+		i, taken := indexByAddress[e.Address]
+		switch {
+		case !taken:
+			indexByAddress[e.Address] = len(out)
+			out = append(out, e)
+		case e.ProcessStart > out[i].ProcessStart:
+			out[i] = e
+		}
+	}
+	return out
+}
+
+// decodeEntry returns the backend server in r, decoded once for each revision, and
+// records each new one in the audit trail.
+func (w *Watcher) decodeEntry(r Record) (reader.Entry, bool) {
+	if d, ok := w.decodedEntries[r.Key]; ok && d.revision == r.Revision {
+		return d.entry, d.ok
+	}
+	e, ok, err := w.Decoder.DecodeEntry(r)
+	w.logMalformed(r, err)
+	w.decodedEntries[r.Key] = decodedEntry{r.Revision, e, ok}
+	if ok {
+		state := "ready"
+		if e.Leaving {
+			state = "leaving"
+		}
+		w.auditRecord(r.Key, state+" at "+e.Address.String()+" for "+e.Service, r.Revision)
+	}
+	return e, ok
+}
+
+// offerBundle passes the bundle in r, if any, to BundleSink.
+func (w *Watcher) offerBundle(r Record) {
+	text, err := w.Decoder.DecodeBundle(r)
+	w.logMalformed(r, err)
+	if text == nil {
+		return
+	}
+	changed, err := w.BundleSink.OfferBundle(text, "platform")
+	switch {
+	case err != nil:
+		w.Log.Error().Err(err).Uint64("revision", r.Revision).Msg("config: bundle rejected; the active one stays")
+	case changed:
+		w.Log.Info().Uint64("revision", r.Revision).Msg("config: bundle accepted from the platform")
+	}
+}
+
+// logMalformed logs a record that cannot be decoded, once for each key. The number
+// of logged keys is bounded.
+func (w *Watcher) logMalformed(r Record, err error) {
+	if err == nil {
+		return
+	}
+	if len(w.malformedKeys) < maxTombstones && !w.malformedKeys[r.Key] {
+		w.malformedKeys[r.Key] = true
+		w.Log.Warn().Str("key", r.Key).Uint64("revision", r.Revision).Err(err).Msg("platform: malformed record ignored")
+	}
+}
+
+func (w *Watcher) auditRecord(key, after string, revision uint64) {
+	w.Audit.RecordChange(auditor.Change{
+		Component: "platform", Subject: key, Cause: "record of revision " + strconv.FormatUint(revision, 10), Before: "-", After: after,
+	})
+}
--- a/internal/platform/watcher/watcher.go
+++ b/internal/platform/watcher/watcher.go
@@ -2,11 +2,8 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"net"
 	"net/netip"
-	"slices"
-	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -16,7 +13,6 @@
 
 	"sardinelever.example/sardinelever/internal/fleet/connector"
 	"sardinelever.example/sardinelever/internal/fleet/registrar"
-	"sardinelever.example/sardinelever/internal/flow/sleeper"
 	"sardinelever.example/sardinelever/internal/operator/auditor"
 	"sardinelever.example/sardinelever/internal/platform/reader"
 )
@@ -226,129 +222,6 @@
 	}
 }
 
-// loadFirstRecords reads the records of an instance that starts, unless another
-// instance delivers them first. In a fleet that starts as a whole, only the instances
-// that others follow read more than the first page.
-func (w *Watcher) loadFirstRecords(ctx context.Context) {
-	deadline := time.Now()
-	if w.Bootstrap {
-		deadline = deadline.Add(bootstrapWait)
-	}
-	w.loadRecords(ctx, true, func() bool {
-		for time.Now().Before(deadline) && !w.isCandidate() && !w.isLoaded() {
-			sleeper.Sleep(ctx, sourceCheckPeriod)
-		}
-		return !w.isLoaded() && ctx.Err() == nil
-	})
-}
-
-// isLoaded reports whether all records were loaded.
-func (w *Watcher) isLoaded() bool {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	_, loaded := w.table.Revision()
-	return loaded
-}
-
-// isCandidate reports whether others are to follow this instance, as far as it knows
-// them.
-func (w *Watcher) isCandidate() bool {
-	members, now := w.Fleet.UsableMembers("", w.Region), time.Now()
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	return !now.Before(w.peersExpectedBy) && slices.Contains(w.sourceNamesAt(members, now), w.Name)
-}
-
-// loadRecords reads all records from the store, page by page, and reports whether it
-// did. It stops without effect when proceed, which is called between the pages, returns
-// false. A stale result does not count as confirmed by the store.
-func (w *Watcher) loadRecords(ctx context.Context, stale bool, proceed func() bool) bool {
-	start := time.Now()
-	var all Batch
-	for after := ""; ; {
-		page, err := w.readPage(ctx, after, stale)
-		if w.handleCallResult(ctx, err, "range") {
-			return false
-		}
-		if after == "" {
-			all.Revision = page.Revision // A watch from the first page's revision also has what changed between the pages.
-		}
-		all.Records = append(all.Records, page.Records...)
-		if after = page.Next; after == "" {
-			break
-		}
-		if !proceed() {
-			return false
-		}
-	}
-	confirmedBy := w.Name
-	if stale {
-		confirmedBy = ""
-	}
-	w.updateTable(start, confirmedBy, func(now time.Time) []Record { return w.table.LoadAll(now, all) })
-	return true
-}
-
-func (w *Watcher) readPage(ctx context.Context, after string, stale bool) (Page, error) {
-	ctx, cancel := context.WithTimeout(ctx, rangeTimeout)
-	defer cancel()
-	w.callCount.Add(1)
-	return w.Store.ReadPage(ctx, after, stale)
-}
-
-// watchStore waits once, for at most timeout, for changes in the store and applies them.
-// It reports whether the store responded.
-func (w *Watcher) watchStore(ctx context.Context, timeout time.Duration) bool {
-	watchCtx, cancel := context.WithTimeout(ctx, timeout+watchResponseMargin)
-	defer cancel()
-	revision := w.Revision()
-	w.callCount.Add(1)
-	b, err := w.Store.Watch(watchCtx, revision, timeout)
-	if errors.Is(err, ErrCompacted) {
-		w.Log.Warn().Uint64("after", revision).Msg("platform: store has compacted the changes; reading all records again")
-		return w.loadRecords(ctx, false, func() bool { return ctx.Err() == nil })
-	}
-	if w.handleCallResult(ctx, err, "watch") {
-		return false
-	}
-	w.updateTable(time.Now(), w.Name, func(now time.Time) []Record { return w.table.ApplyChanges(now, b) })
-	if len(b.Records) > 0 {
-		sleeper.Sleep(ctx, watchSpacing)
-	}
-	return true
-}
-
-// handleCallResult updates the backoff after a call to the store, logs when calls
-// begin or cease to fail and reports whether this call failed.
-func (w *Watcher) handleCallResult(ctx context.Context, err error, call string) bool {
-	if err == nil {
-		if w.storeFailing.Swap(false) {
-			w.Log.Info().Uint64("revision", w.Revision()).Msg("platform: store responds again")
-		}
-		w.mu.Lock()
-		defer w.mu.Unlock()
-		w.retryDelay, w.nextStoreCall = 0, time.Time{}
-		return false
-	}
-	if ctx.Err() != nil {
-		return true
-	}
-	if !w.storeFailing.Swap(true) {
-		w.Log.Warn().Str("call", call).Err(err).Uint64("revision", w.Revision()).Dur("age", time.Since(w.ConfirmedAt())).
-			Msg("platform: store does not respond to this instance; following other instances")
-	}
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.retryDelay = min(maxRetryDelay, max(minRetryDelay, 2*w.retryDelay))
-	now := time.Now()
-	w.nextStoreCall = now.Add(w.retryDelay/2 + rand.N(w.retryDelay/2+1))
-	if now.After(w.storeCallBy) {
-		w.postponeStoreCall(now, len(w.Fleet.UsableMembers("", w.Region)))
-	}
-	w.notifyFollowers() // Followers must look for another source at once.
-	return true
-}
-
 // updateTable calls apply on the table and publishes the changed records. Unless it is
 // empty, confirmedBy names the instance to which the store confirmed the records as of
 // confirmedAt.
@@ -403,97 +276,3 @@
 		w.updateTable(time.Time{}, "", w.table.ApplyHeldDeletions)
 	}
 }
-
-// publishChanges passes changed bundles to BundleSink and publishes the list of backend
-// servers. The caller must hold w.updateMu.
-func (w *Watcher) publishChanges(revision uint64, live, changed []Record) {
-	list := &reader.List{Time: time.Now(), Entries: w.decodeEntries(live)}
-	for _, r := range changed {
-		if r.Deleted {
-			delete(w.decodedEntries, r.Key)
-			w.auditRecord(r.Key, "deleted", revision)
-			continue
-		}
-		w.offerBundle(r)
-	}
-	w.latestList.Store(list)
-	if w.OnChange != nil {
-		w.OnChange(list)
-	}
-}
-
-// decodeEntries returns the backend servers in records. Only one process at a time
-// can use an address, so of several entries with the same address the one that
-// started last is returned.
-func (w *Watcher) decodeEntries(records []Record) []reader.Entry {
-	var out []reader.Entry
-	indexByAddress := make(map[netip.AddrPort]int)
-	for _, r := range records {
-		e, ok := w.decodeEntry(r)
-		if !ok {
-			continue
-		}
-		i, taken := indexByAddress[e.Address]
-		switch {
-		case !taken:
-			indexByAddress[e.Address] = len(out)
-			out = append(out, e)
-		case e.ProcessStart > out[i].ProcessStart:
-			out[i] = e
-		}
-	}
-	return out
-}
-
-// decodeEntry returns the backend server in r, decoded once for each revision, and
-// records each new one in the audit trail.
-func (w *Watcher) decodeEntry(r Record) (reader.Entry, bool) {
-	if d, ok := w.decodedEntries[r.Key]; ok && d.revision == r.Revision {
-		return d.entry, d.ok
-	}
-	e, ok, err := w.Decoder.DecodeEntry(r)
-	w.logMalformed(r, err)
-	w.decodedEntries[r.Key] = decodedEntry{r.Revision, e, ok}
-	if ok {
-		state := "ready"
-		if e.Leaving {
-			state = "leaving"
-		}
-		w.auditRecord(r.Key, state+" at "+e.Address.String()+" for "+e.Service, r.Revision)
-	}
-	return e, ok
-}
-
-// offerBundle passes the bundle in r, if any, to BundleSink.
-func (w *Watcher) offerBundle(r Record) {
-	text, err := w.Decoder.DecodeBundle(r)
-	w.logMalformed(r, err)
-	if text == nil {
-		return
-	}
-	changed, err := w.BundleSink.OfferBundle(text, "platform")
-	switch {
-	case err != nil:
-		w.Log.Error().Err(err).Uint64("revision", r.Revision).Msg("config: bundle rejected; the active one stays")
-	case changed:
-		w.Log.Info().Uint64("revision", r.Revision).Msg("config: bundle accepted from the platform")
-	}
-}
-
-// logMalformed logs a record that cannot be decoded, once for each key. The number
-// of logged keys is bounded.
-func (w *Watcher) logMalformed(r Record, err error) {
-	if err == nil {
-		return
-	}
-	if len(w.malformedKeys) < maxTombstones && !w.malformedKeys[r.Key] {
-		w.malformedKeys[r.Key] = true
-		w.Log.Warn().Str("key", r.Key).Uint64("revision", r.Revision).Err(err).Msg("platform: malformed record ignored")
-	}
-}
-
-func (w *Watcher) auditRecord(key, after string, revision uint64) {
-	w.Audit.RecordChange(auditor.Change{
-		Component: "platform", Subject: key, Cause: "record of revision " + strconv.FormatUint(revision, 10), Before: "-", After: after,
-	})
-}
