Set the fault of TestCallMetrics before its first call

Cause: the fault applies to connections that are accepted after it is set. If the call to /hold found no idle connection, because the last one was not back in the pool yet, it opened a second one; the last call then reused the first, without the fault, and was answered whole. Change: the fault is set first; only the last response is long enough for it. The counts that are checked are as before.

--- a/internal/instance/runner/metrics_test.go
+++ b/internal/instance/runner/metrics_test.go
@@ -14,13 +14,15 @@
 // with another outcome than the one reported to the caller.
 func TestCallMetrics(t *testing.T) {
 	d := startDeployment(t, 1)
+	// The fault applies to new connections, and calls may use more than one, so it is
+	// set before the first. Only the last response is long enough for it.
+	d.injectors[0].SetFault(injector.Fault{Kind: injector.ResetConn, RequestBytes: -1, ResponseBytes: 50_000})
 	d.sendCall(t.Context(), http.MethodPost, "/echo", "b", "")
 	d.sendCall(t.Context(), http.MethodPost, "/foreign", "b", "")
 	d.sendCall(t.Context(), http.MethodPost, "/refuse", "b", "")
 	d.sendCall(t.Context(), http.MethodPost, "/hold", "b", "200")
 	<-d.arrived
 	<-d.cancelled
-	d.injectors[0].SetFault(injector.Fault{Kind: injector.ResetConn, RequestBytes: -1, ResponseBytes: 50_000})
 	d.sendCall(t.Context(), http.MethodPost, "/echo", strings.Repeat("x", 100_000), "")
 	want := []string{
 		`sardinelever_calls_total{outcome="answered",rank="normal",service="s"} 1`,
