Log and count requests that are refused before they have a service

What callers saw: a 404, 400, 413 or 503 whose id occurs in no log. Cause: the line 'call: ended' and sardinelever_calls_total need a service, so a request that matches no route, has a bad header, is too large or comes before the first configuration left no trace; docs/OPERATIONS.md promises one for each id. Change: one line 'call: refused' with id, reason, status, host, path, version of the configuration and the age of its last confirmation, and the counter sardinelever_refusals_total by reason. Result: TestRefusalIsTraced failed before (no line) and passes.

--- a/internal/call/responder/responder.go
+++ b/internal/call/responder/responder.go
@@ -41,6 +41,16 @@
 	return classifier.ClassifyRequest(table, re.dialect(), r, now)
 }
 
+// RequestID returns the caller's name of r, or "" if it has none. Unlike
+// ClassifyRequest, it also does so for a request that no service matches.
+func (re *Responder) RequestID(r *http.Request) string {
+	metadata, err := re.dialect().ParseRequest(r)
+	if err != nil {
+		return ""
+	}
+	return metadata.RequestID
+}
+
 // CopyResponse writes the response of a backend server to w and closes its body.
 // It lets the dialect set the headers for the caller; translator.Native marks a
 // status of 500 and above with the outcome failed. When the body breaks off,
--- a/internal/instance/runner/call_handler.go
+++ b/internal/instance/runner/call_handler.go
@@ -40,6 +40,9 @@
 	stopping     atomic.Bool    // Tells callers to close their connections after the response.
 	log          *log.Logger    // nil means that calls are not logged.
 	checkPause   func()         // Detects a pause of the process; called before a call is classified.
+	// confirmedAt returns the time at which the configuration was last known to be
+	// that of the platform, or the zero time; nil means unknown.
+	confirmedAt func() time.Time
 }
 
 // issueKeyPath is the path at which callers request a new idempotency key for a
@@ -76,8 +79,10 @@
 	if h.stopping.Load() {
 		w.Header().Set("Connection", "close")
 	}
-	c, report := h.classifyRequest(r)
+	table := h.routingTable.Load()
+	c, report := h.classifyRequest(table, r)
 	if report != nil {
+		h.recordRefusal(r, table.Version, report)
 		h.responder.WriteErrorReport(w, *report)
 		return
 	}
@@ -90,10 +95,9 @@
 	h.deduper.HandleCall(w, r, c, forwarded, func(w http.ResponseWriter, r *http.Request) (ran bool) { return h.serveCall(w, r, c) })
 }
 
-// classifyRequest classifies r. If r is rejected, it returns a report with the reason
-// instead of a call.
-func (h *callHandler) classifyRequest(r *http.Request) (*classifier.Call, *responder.ErrorReport) {
-	table := h.routingTable.Load()
+// classifyRequest classifies r by table. If r is rejected, it returns a report with the
+// reason instead of a call.
+func (h *callHandler) classifyRequest(table *router.RoutingTable, r *http.Request) (*classifier.Call, *responder.ErrorReport) {
 	c, err := h.responder.ClassifyRequest(table, r, time.Now())
 	switch {
 	case err == nil:
--- a/internal/instance/runner/components.go
+++ b/internal/instance/runner/components.go
@@ -145,8 +145,10 @@
 	if c.platform != nil {
 		c.handler.responder.Dialect, c.handler.sender.Dialect = c.platform.Dialect, c.platform.Dialect
 		c.handler.retrier.Limit = c.retryLimit
+		c.handler.confirmedAt = c.recordWatcher.ConfirmedAt
 		return
 	}
+	c.handler.confirmedAt = c.configFollower.LastRead
 	c.deduper = deduper.Deduper{
 		Name: c.settings.Name, PeerAddr: c.settings.Peers, Incarnation: c.incarnation, Fleet: fleetView{c},
 		Rules: deduper.Rules{Margin: c.settings.Margin.AsDuration()},
--- a/internal/operator/meter/metrics.go
+++ b/internal/operator/meter/metrics.go
@@ -14,6 +14,7 @@
 	CallSeconds     *prometheus.HistogramVec // Time from accepting a call to the end of the response, by service and rank.
 	Attempts        *prometheus.CounterVec   // Attempts that got a slot, by service and kind: first, or again for a retry or hedge.
 	SlotWaitSeconds *prometheus.HistogramVec // Time that an attempt waited for a slot, by service and rank.
+	Refusals        *prometheus.CounterVec   // Requests that were refused before they had a service, by reason.
 }
 
 // RegisterMetrics creates the metrics and registers them in r, together with the
@@ -28,11 +29,14 @@
 			Name: "sardinelever_attempts_total", Help: "Attempts that got a slot, by kind: first, or again for a retry or hedge.",
 		}, []string{"service", "kind"}),
 		SlotWaitSeconds: newSecondsHistogram("sardinelever_wait_seconds", "Time that an attempt waited for a slot."),
+		Refusals: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "sardinelever_refusals_total", Help: "Requests that were refused before they had a service, by reason.",
+		}, []string{"reason"}),
 	}
 	panics := prometheus.NewCounterFunc(prometheus.CounterOpts{
 		Name: "sardinelever_panics_total", Help: "Panics that ended one call, stream or message.",
 	}, func() float64 { return float64(recoverer.Count()) })
-	r.MustRegister(panics, m.Calls, m.CallSeconds, m.Attempts, m.SlotWaitSeconds,
+	r.MustRegister(panics, m.Calls, m.CallSeconds, m.Attempts, m.SlotWaitSeconds, m.Refusals,
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	return m
 }
