Deny a request only by a configuration that was confirmed lately

What callers saw: 404, which they do not repeat, for a route that had been in force for seconds, on an instance that had just started or had lost contact to the store. Cause: an instance is ready with a stale first read, and keeps its last configuration without contact. It answered 404 (or 413) by them as if it knew that no route exists. The class: an absence concluded from knowledge of unknown age. Change: such a request is denied only if the store, or an instance that reads it, confirmed the published records within the last 2 s, by the longer of monotonic and wall clock; otherwise the answer is 503 'unconfirmed' with Retry-After. In the native formats the other instances must have been asked for their bundles first.

--- a/internal/instance/detector/pause_detector.go
+++ b/internal/instance/detector/pause_detector.go
@@ -58,14 +58,19 @@
 	p.lastCheck = now
 }
 
-// elapsed returns the time since the last check by the monotonic or the wall clock,
-// whichever is longer. The monotonic clock stops while the machine is suspended;
-// SIGSTOP stops neither clock.
+// elapsed returns the time since the last check; see Elapsed.
 func (p *PauseDetector) elapsed(now time.Time) time.Duration {
 	if p.lastCheck.IsZero() {
 		return 0
 	}
-	return max(now.Sub(p.lastCheck), now.Round(0).Sub(p.lastCheck.Round(0)))
+	return Elapsed(p.lastCheck, now)
+}
+
+// Elapsed returns the time from start to end by the monotonic or the wall clock,
+// whichever is longer. The monotonic clock stops while the machine is suspended;
+// SIGSTOP stops neither clock.
+func Elapsed(start, end time.Time) time.Duration {
+	return max(end.Sub(start), end.Round(0).Sub(start.Round(0)))
 }
 
 func (p *PauseDetector) now() time.Time {
--- a/internal/instance/runner/call_handler.go
+++ b/internal/instance/runner/call_handler.go
@@ -43,6 +43,9 @@
 	// confirmedAt returns the time at which the configuration was last known to be
 	// that of the platform, or the zero time; nil means unknown.
 	confirmedAt func() time.Time
+	// isConfigCurrent reports whether routingTable holds each configuration that has to
+	// be in force; nil means that it does.
+	isConfigCurrent func() bool
 }
 
 // issueKeyPath is the path at which callers request a new idempotency key for a
@@ -102,21 +105,31 @@
 	switch {
 	case err == nil:
 	case table.Version == 0:
-		return nil, &responder.ErrorReport{StatusCode: http.StatusServiceUnavailable, Reason: "starting", Detail: "no configuration is known yet", RetryAfter: startupRetryAfter}
+		return nil, &responder.ErrorReport{StatusCode: http.StatusServiceUnavailable, Reason: "starting", Detail: "no configuration is known yet", RetryAfter: configRetryAfter}
 	case errors.Is(err, classifier.ErrNoService):
-		return nil, &responder.ErrorReport{StatusCode: http.StatusNotFound, Reason: "service", Detail: err.Error()}
+		return nil, h.denialReport(table, http.StatusNotFound, "service", err.Error())
 	default:
 		return nil, &responder.ErrorReport{StatusCode: http.StatusBadRequest, Reason: "header", Detail: err.Error()}
 	}
-	if limit := table.Limits.Body; err == nil && limit > 0 && r.ContentLength > int64(limit) {
-		return nil, &responder.ErrorReport{StatusCode: http.StatusRequestEntityTooLarge, Reason: "size", Detail: "the body is larger than the configuration allows"}
+	if limit := table.Limits.Body; limit > 0 && r.ContentLength > int64(limit) {
+		return nil, h.denialReport(table, http.StatusRequestEntityTooLarge, "size", "the body is larger than the configuration allows")
 	}
 	return c, nil
 }
 
-// startupRetryAfter is the Retry-After of an instance that has no configuration yet.
-// It receives one within milliseconds after the platform or another instance responds.
-const startupRetryAfter = 200 * time.Millisecond
+// denialReport returns the report for a request that table does not allow. Callers do not
+// repeat such a request, so while a newer configuration could allow it, the report asks
+// them to try again.
+func (h *callHandler) denialReport(table *router.RoutingTable, statusCode int, reason, detail string) *responder.ErrorReport {
+	if h.isConfigCurrent != nil && !h.isConfigCurrent() || h.routingTable.Load() != table {
+		return &responder.ErrorReport{StatusCode: http.StatusServiceUnavailable, Reason: "unconfirmed", Detail: detail, RetryAfter: configRetryAfter}
+	}
+	return &responder.ErrorReport{StatusCode: statusCode, Reason: reason, Detail: detail}
+}
+
+// configRetryAfter is the Retry-After of an instance without a current configuration. It
+// receives one within milliseconds after the platform or another instance responds.
+const configRetryAfter = 200 * time.Millisecond
 
 // serveCall makes the attempts of the call, writes the response or an error report
 // to the caller, and returns whether a backend server may have run the call.
--- a/internal/instance/runner/components.go
+++ b/internal/instance/runner/components.go
@@ -35,6 +35,7 @@
 	platform        *PlatformAdapter // nil means the native formats.
 	log             *log.Logger
 	incarnation     uint64
+	peersAsked      atomic.Bool // Set when the other instances were asked for their bundles.
 	metricsRegistry *prometheus.Registry
 	metrics         *meter.Metrics
 
@@ -140,12 +141,12 @@
 
 func (c *components) initCallHandler() {
 	c.handler.routingTable, c.handler.slots, c.handler.metrics, c.handler.checkPause = &c.routingTable, &c.slotClient, c.metrics, c.pauseDetector.CheckPause
-	c.handler.responder.Instance, c.handler.log = c.settings.Name, c.log
+	c.handler.responder.Instance, c.handler.log, c.handler.isConfigCurrent = c.settings.Name, c.log, c.isConfigCurrent
 	c.handler.sender.InstanceCount = c.fleetSize
 	if c.platform != nil {
 		c.handler.responder.Dialect, c.handler.sender.Dialect = c.platform.Dialect, c.platform.Dialect
 		c.handler.retrier.Limit = c.retryLimit
-		c.handler.confirmedAt = c.recordWatcher.ConfirmedAt
+		c.handler.confirmedAt = c.recordWatcher.PublishedAt
 		return
 	}
 	c.handler.confirmedAt = c.configFollower.LastRead
@@ -254,6 +255,20 @@
 	c.distributor.PullFromPeers(ctx, peerConfigTimeout)
 	pollUntil(ctx, func() bool { b, _ := c.bundleStore.CurrentBundle(); return b != nil })
 	c.rebuildRoutingTable()
+	c.peersAsked.Store(true)
+}
+
+// maxConfirmationAge is the time within which a new configuration has to be in force. An
+// instance whose configuration was confirmed longer ago may lack it.
+const maxConfirmationAge = 2 * time.Second
+
+// isConfigCurrent reports whether the routing table was built from each configuration
+// that has to be in force.
+func (c *components) isConfigCurrent() bool {
+	if c.platform == nil {
+		return c.peersAsked.Load()
+	}
+	return detector.Elapsed(c.recordWatcher.PublishedAt(), time.Now()) < maxConfirmationAge
 }
 
 // pollUntil waits until done returns true. It returns false when ctx ends first.
