Close a connection whose answer belongs to another call

What callers saw: 502 on a second and third call in a row to a sound backend server. Cause: a late or unnamed answer on a reused connection was reported as foreign, and the connection went back to the pool as if its exchange had ended, so the answer to that call was the next one's foreign answer. An answer without a body ended its exchange before it was checked. Evidence: TestLateResponse failed once beside load and in 13 of 800 runs (-count 400 -cpu 1,4; cases 'refusal without a name' and 'other server'). Change: the answer is checked first, and a foreign one closes its connection. Result: 0 of 800 runs fail.

--- a/internal/call/sender/sender.go
+++ b/internal/call/sender/sender.go
@@ -146,18 +146,29 @@
 		}
 		return nil, newFailure(ctx, Unknown, "read", err)
 	}
+	failure := s.checkResponse(a, resp, reused)
+	if failure != nil && failure.Reason == foreignReason {
+		_ = conn.Close() // The response to this call may still arrive on it.
+		return resp, failure
+	}
 	s.trackBody(a, conn, resp)
-	return resp, s.checkResponse(a, resp, reused)
+	if failure != nil {
+		return resp, failure
+	}
+	return resp, nil
 }
 
+// foreignReason is the Reason of a Failure whose response belongs to another call.
+const foreignReason = "foreign"
+
 // checkResponse returns the failure that the status and the header of resp
 // state, or nil when resp is the response to the call. On a reused connection, a
 // response without the ID of the call may be a late one to an earlier call or probe.
-func (s *Sender) checkResponse(a *Attempt, resp *http.Response, reused bool) error {
+func (s *Sender) checkResponse(a *Attempt, resp *http.Response, reused bool) *Failure {
 	metadata := s.dialect().ParseResponse(resp.StatusCode, resp.Header)
 	switch {
 	case metadata.RequestID != "" && metadata.RequestID != a.Call.RequestID, reused && metadata.Unnamed && a.Call.RequestID != "":
-		return &Failure{Outcome: Unknown, Reason: "foreign", Err: errors.Errorf("response of backend server %s belongs to another call", a.Server)}
+		return &Failure{Outcome: Unknown, Reason: foreignReason, Err: errors.Errorf("response of backend server %s belongs to another call", a.Server)}
 	case metadata.Misdirected:
 		return &Failure{Outcome: Rejected, Reason: "moved", Err: errors.Errorf("backend server %s is no longer at address %s, which another one has", a.ServerName, a.Server)}
 	case metadata.UnprovenRefusal:
