Apply the header limit of the configuration in force

What callers saw: 431 without a request id in any log, for a header that the configuration allows. Cause: the HTTP server took limits.header from the configuration that was known when it first served, and kept it until the next start. Change: the server keeps the limit of the instance, 64 KiB; a request is refused by the limit of the routing table, like one by the limit of its body, so it also leaves a log line. In the native formats limits.header had no effect; now it has.

--- a/internal/call/classifier/classifier.go
+++ b/internal/call/classifier/classifier.go
@@ -27,18 +27,22 @@
 var (
 	ErrNoService     = errors.New("no service matches host or path")
 	ErrInvalidHeader = translator.ErrInvalidHeader
+	ErrLargeHeader   = errors.New("header is larger than the configuration allows")
 )
 
 // ClassifyRequest returns the call of r, with the rule, or the service and route,
 // that it matches in table; now is the time of arrival. The error wraps
-// ErrNoService or ErrInvalidHeader.
+// ErrNoService, ErrInvalidHeader or ErrLargeHeader.
 func ClassifyRequest(table *router.RoutingTable, d translator.Dialect, r *http.Request, now time.Time) (*Call, error) {
 	c, deadline := matchConfig(table, r)
 	if c == nil {
 		return nil, errors.Wrapf(ErrNoService, "host %q, path %q", r.Host, r.URL.Path)
 	}
-	if n := headerBytes(r.Header); n > maxHeaderBytes {
+	switch n, limit := headerBytes(r.Header), table.Limits.Header; {
+	case n > maxHeaderBytes:
 		return nil, errors.Wrapf(ErrInvalidHeader, "headers have %d bytes, more than %d", n, maxHeaderBytes)
+	case limit > 0 && n > limit:
+		return nil, errors.Wrapf(ErrLargeHeader, "%d bytes, more than %d", n, limit)
 	}
 	metadata, err := d.ParseRequest(r)
 	if err != nil {
--- a/internal/instance/runner/call_handler.go
+++ b/internal/instance/runner/call_handler.go
@@ -108,6 +108,8 @@
 		return nil, &responder.ErrorReport{StatusCode: http.StatusServiceUnavailable, Reason: "starting", Detail: "no configuration is known yet", RetryAfter: configRetryAfter}
 	case errors.Is(err, classifier.ErrNoService):
 		return nil, h.denialReport(table, http.StatusNotFound, "service", err.Error())
+	case errors.Is(err, classifier.ErrLargeHeader):
+		return nil, h.denialReport(table, http.StatusRequestHeaderFieldsTooLarge, "size", err.Error())
 	default:
 		return nil, &responder.ErrorReport{StatusCode: http.StatusBadRequest, Reason: "header", Detail: err.Error()}
 	}
--- a/internal/instance/runner/instance.go
+++ b/internal/instance/runner/instance.go
@@ -148,9 +148,9 @@
 // within milliseconds; without the wait the first calls would be refused.
 const initialConfigWait = 300 * time.Millisecond
 
-// serveCallers serves the listener for callers. With a PlatformAdapter, the HTTP
-// limits come from the configuration that is known when the listener is first
-// served.
+// serveCallers serves the listener for callers. With a PlatformAdapter, the timeouts of
+// connections come from the configuration that is known when the listener is first
+// served. The limits of header and body are those of the configuration in force.
 func (i *Instance) serveCallers(c *components, s *http.Server, l net.Listener) error {
 	if c.platform != nil {
 		ctx, cancel := context.WithTimeout(context.Background(), initialConfigWait)
@@ -161,9 +161,6 @@
 		if d := limits.Read.AsDuration(); d > 0 {
 			s.ReadHeaderTimeout = d
 		}
-		if limits.Header > 0 {
-			s.MaxHeaderBytes = limits.Header
-		}
 	}
 	return serveFunc(s, l)()
 }
