Log what a read of all records found

Cause: after a 410 no line said at which revision and epoch the store is, how many records the read had and whether any of them was taken, so the three hypotheses in docs/incidents/restored-store.md look alike in the logs. Change: the epoch of the store, which it states in each response, is decoded; one line for each read of all records has it, the store's and the own revision and the counts.

--- a/internal/platform/watcher/record.go
+++ b/internal/platform/watcher/record.go
@@ -24,6 +24,7 @@
 type Batch struct {
 	Records  []Record
 	Revision uint64
+	Epoch    uint64 // Number of times that the store was restored from a copy; 0 when it does not say.
 }
 
 // Page is a part of all records.
--- a/internal/platform/watcher/store_calls.go
+++ b/internal/platform/watcher/store_calls.go
@@ -56,7 +56,7 @@
 			return false
 		}
 		if after == "" {
-			all.Revision = page.Revision // A watch from the first page's revision also has what changed between the pages.
+			all.Revision, all.Epoch = page.Revision, page.Epoch // A watch from the first page's revision also has what changed between the pages.
 		}
 		all.Records = append(all.Records, page.Records...)
 		if after = page.Next; after == "" {
@@ -70,7 +70,14 @@
 	if stale {
 		confirmedBy = ""
 	}
-	w.updateTable(start, confirmedBy, func(now time.Time) []Record { return w.table.LoadAll(now, all) })
+	known := w.Revision()
+	var changed []Record
+	w.updateTable(start, confirmedBy, func(now time.Time) []Record {
+		changed = w.table.LoadAll(now, all)
+		return changed
+	})
+	w.Log.Info().Uint64("epoch", all.Epoch).Uint64("at", all.Revision).Uint64("known", known).Uint64("revision", w.Revision()).
+		Int("records", len(all.Records)).Int("changed", len(changed)).Bool("stale", stale).Msg("platform: all records read from the store")
 	return true
 }
 
