Compare revisions only within one epoch of the store

Cause: the copy of the records orders changes by the store's revision alone, and takes that for a count that never goes back. A restored store gives revisions out again, so new records were ignored as old ones, and a watch from a revision that was given out again left out the change that has it now. Class: a counter of another system is compared beyond the life of that system's history. Change: positions are epoch and revision; feeds and subscriptions carry the epoch. With a later epoch all records are read again and merged: states that their writer counts as later, and deletions, stay until the record is written again, and records that the copy lacks stay for the hold time. A feed begins with records, so that an instance that started from the copy learns what the others know beyond it. Confirmations and records of an earlier epoch are ignored. Decoded records are remembered by change, not by revision.

--- a/internal/platform/watcher/age_test.go
+++ b/internal/platform/watcher/age_test.go
@@ -155,10 +155,10 @@
 // missing returns the names of the instances that are not silent and lack the newest change.
 func (f *zonedFleet) missing() (names []string) {
 	f.store.mu.Lock()
-	newest := f.store.revision
+	newest := watcher.Position{Epoch: f.store.epoch, Revision: f.store.revision}
 	f.store.mu.Unlock()
 	for _, x := range f.nodes {
-		if !x.silent.Load() && x.Revision() < newest {
+		if !x.silent.Load() && x.Position().Compare(newest) < 0 {
 			names = append(names, x.Name)
 		}
 	}
--- a/internal/platform/watcher/doc.go
+++ b/internal/platform/watcher/doc.go
@@ -7,12 +7,17 @@
 // revision up to which all changes are known. A record is only ever replaced by one
 // with a higher revision, so changes from several sources may arrive in any order.
 //
+// A store that is restored from a copy loses its last changes and gives out their
+// revisions again. It states how often that happened, its epoch; revisions are compared
+// within one epoch only. With a later epoch all records are read again, and what was
+// known beyond the copy stays until it is written again (Table.startEpoch).
+//
 // Sources decides who follows whom: in a small region all follow the two instances
 // that read the store; in a large one two relays in each zone do, and the others of the
 // zone follow the relays. A sourceReader reads from one source; each instance runs two.
 //
 // A feed starts with a message Subscribe that has the revision known to the
-// follower. Each message Feed that follows has the changes since the one before,
+// follower and its epoch. Each message Feed that follows has the changes since the one before,
 // the revision up to which they are complete (At), the time in nanoseconds since
 // the store confirmed that (Age) and the instance to which it did (Reader). A standby
 // feed has no changes; its follower subscribes to them when At is ahead of what it knows.
--- a/internal/platform/watcher/follower.go
+++ b/internal/platform/watcher/follower.go
@@ -53,6 +53,7 @@
 	}
 	defer func() { _ = conn.Close() }()
 	defer context.AfterFunc(ctx, func() { _ = conn.Close() })()
+	r.synced = false
 	if err := r.subscribe(conn); err != nil {
 		return err
 	}
@@ -69,10 +70,8 @@
 		}
 		stale := message.GetAt() > 0 && w.applyFeedMessage(message)
 		r.recordMessage(message.GetAt() > 0 && !stale)
-		if r.needsSubscription(message) {
-			if err := r.subscribe(conn); err != nil {
-				return err
-			}
+		if err := r.updateSubscription(conn, message); err != nil {
+			return err
 		}
 		w.applyHeldDeletions()
 		s, _ := r.chooseSource(time.Now())
@@ -88,44 +87,49 @@
 // subscribe asks for the records after the known revision, or for the revision alone
 // when the other reader delivers the records.
 func (r *sourceReader) subscribe(conn net.Conn) error {
-	revision, standby := r.subscription()
+	position, standby := r.subscription()
 	r.standby = standby
 	_ = conn.SetWriteDeadline(time.Now().Add(feedTimeout))
-	return messenger.WriteMessage(conn, &messenger.Subscribe{After: revision, Standby: standby})
+	return messenger.WriteMessage(conn, &messenger.Subscribe{Epoch: position.Epoch, After: position.Revision, Standby: standby})
 }
 
-// subscription returns the known revision and whether the feed of this reader is the
-// standby one: that of the second reader, unless its source was ahead.
-func (r *sourceReader) subscription() (revision uint64, standby bool) {
+// subscription returns the known position and whether the feed of this reader is the
+// standby one: that of the second reader, unless its source was ahead. Each feed begins
+// with records, because its source may know some that a restored store lacks.
+func (r *sourceReader) subscription() (p Position, standby bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	revision, loaded := r.table.Revision()
-	return revision, r.index > 0 && loaded && r.sourceRevision <= revision
+	p, loaded := r.table.Position()
+	return p, r.index > 0 && loaded && r.synced && r.sourcePosition.Compare(p) <= 0
 }
 
-// needsSubscription reports whether a message shows that the feed has to carry the
+// updateSubscription subscribes again when a message shows that the feed has to carry the
 // records, because its source is ahead of the own records, or no longer has to.
-func (r *sourceReader) needsSubscription(message *messenger.Feed) bool {
-	r.sourceRevision = message.GetAt()
-	_, standby := r.subscription()
-	return standby != r.standby
+func (r *sourceReader) updateSubscription(conn net.Conn, message *messenger.Feed) error {
+	r.synced = r.synced || message.GetAt() > 0 && !message.GetStandby()
+	r.sourcePosition = Position{message.GetEpoch(), message.GetAt()}
+	if _, standby := r.subscription(); standby == r.standby {
+		return nil
+	}
+	return r.subscribe(conn)
 }
 
 // applyFeedMessage applies one message of a feed and reports whether its sender is of
 // no use as a source: it has been without contact to the store for staleAge or longer,
-// or what it knows came from this instance.
+// what it knows came from this instance, or it has not noticed that the store was restored.
 func (w *Watcher) applyFeedMessage(message *messenger.Feed) (stale bool) {
-	age := time.Duration(message.GetAge())
-	stale = age >= staleAge || message.GetReader() == w.Name
-	confirmedBy := message.GetReader()
-	if message.GetReader() == w.Name || message.GetStandby() && message.GetAt() > w.Revision() {
-		confirmedBy = ""
+	age, known := time.Duration(message.GetAge()), w.Position()
+	source := Position{message.GetEpoch(), message.GetAt()}
+	stale = age >= staleAge || message.GetReader() == w.Name || source.Epoch < known.Epoch
+	c := confirmation{time.Now().Add(-age), message.GetReader(), source.Epoch}
+	if message.GetReader() == w.Name || message.GetStandby() && source.Compare(known) > 0 {
+		c.by = ""
 	}
-	batch := Batch{Revision: message.GetAt(), Records: make([]Record, 0, len(message.GetRecords()))}
+	batch := Batch{Epoch: source.Epoch, Revision: source.Revision, Records: make([]Record, 0, len(message.GetRecords()))}
 	for _, r := range message.GetRecords() {
 		batch.Records = append(batch.Records, Record{Key: r.GetKey(), Value: r.GetValue(), Revision: r.GetRevision(), Deleted: r.GetDeleted()})
 	}
-	w.updateTable(time.Now().Add(-age), confirmedBy, func(now time.Time) []Record {
+	w.updateTable(c, func(now time.Time) []Record {
 		switch {
 		case message.GetStandby():
 			return nil
--- a/internal/platform/watcher/publication.go
+++ b/internal/platform/watcher/publication.go
@@ -12,10 +12,12 @@
 // publishChanges passes changed bundles to BundleSink and publishes the list of backend
 // servers. The caller must hold w.updateMu.
 func (w *Watcher) publishChanges(revision uint64, live, changed []Record) {
+	for _, r := range changed {
+		delete(w.decodedEntries, r.Key)
+	}
 	list := &reader.List{Time: time.Now(), Entries: w.decodeEntries(live)}
 	for _, r := range changed {
 		if r.Deleted {
-			delete(w.decodedEntries, r.Key)
 			w.auditRecord(r.Key, "deleted", revision)
 			continue
 		}
@@ -50,15 +52,15 @@
 	return out
 }
 
-// decodeEntry returns the backend server in r, decoded once for each revision, and
+// decodeEntry returns the backend server in r, decoded once for each change, and
 // records each new one in the audit trail.
 func (w *Watcher) decodeEntry(r Record) (reader.Entry, bool) {
-	if d, ok := w.decodedEntries[r.Key]; ok && d.revision == r.Revision {
+	if d, ok := w.decodedEntries[r.Key]; ok {
 		return d.entry, d.ok
 	}
 	e, ok, err := w.Decoder.DecodeEntry(r)
 	w.logMalformed(r, err)
-	w.decodedEntries[r.Key] = decodedEntry{r.Revision, e, ok}
+	w.decodedEntries[r.Key] = decodedEntry{e, ok}
 	if ok {
 		state := "ready"
 		if e.Leaving {
--- a/internal/platform/watcher/record.go
+++ b/internal/platform/watcher/record.go
@@ -1,6 +1,7 @@
 package watcher
 
 import (
+	"cmp"
 	"context"
 	"time"
 
@@ -24,7 +25,17 @@
 type Batch struct {
 	Records  []Record
 	Revision uint64
-	Epoch    uint64 // Number of times that the store was restored from a copy; 0 when it does not say.
+	Epoch    uint64 // Epoch of the store that the revision belongs to.
+}
+
+// Position is a point in the changes of the store. The epoch rises each time that the
+// store is restored from a copy: it then gives out revisions again that other changes
+// had, so a revision has a meaning only in its epoch.
+type Position struct{ Epoch, Revision uint64 }
+
+// Compare returns -1 if p is before q, 0 if they are equal and 1 if p is after q.
+func (p Position) Compare(q Position) int {
+	return cmp.Or(cmp.Compare(p.Epoch, q.Epoch), cmp.Compare(p.Revision, q.Revision))
 }
 
 // Page is a part of all records.
@@ -53,4 +64,8 @@
 	// DecodeEntry returns the backend server that r describes; ok is false when r
 	// describes none.
 	DecodeEntry(r Record) (e reader.Entry, ok bool, err error)
+	// CompareStates compares two states of one record by the counters that its writer
+	// keeps in the value. It returns -1 if a is the earlier state, 1 if it is the later
+	// one and 0 if the values do not tell.
+	CompareStates(a, b Record) int
 }
--- /dev/null
+++ b/internal/platform/watcher/restore.go
@@ -0,0 +1,61 @@
+package watcher
+
+import (
+	"bytes"
+	"time"
+)
+
+// startEpoch takes over b, all records of a store that was restored from a copy, and
+// returns the records that changed. The copy lacks the last changes before the restore.
+// Their writers write them again, but a server that has left does not, so what this table
+// knows beyond the copy stays:
+//
+//   - a state that its writer counts as later than that of the copy, or a deletion of the
+//     state in the copy, until the record is written again;
+//   - a record that the copy lacks, for HoldTime or until it is written again.
+func (t *Table) startEpoch(now time.Time, b Batch) []Record {
+	known, held := t.records, t.heldDeletions
+	t.records, t.heldDeletions, t.changeLog = make(map[string]*tableEntry), make(map[string]Record), nil
+	t.position, t.prunedRevision = Position{b.Epoch, b.Revision}, 0
+	t.sequence++
+	t.epochSequence = t.sequence
+	t.startHold(now)
+	var changed []Record
+	for _, r := range b.Records {
+		if t.records[r.Key] != nil {
+			continue // The batch names each key once.
+		}
+		e := known[r.Key]
+		delete(known, r.Key)
+		if t.mergeCopied(r, e) {
+			changed = append(changed, r)
+		} else if _, ok := held[r.Key]; ok || r.Deleted && e != nil && !e.Deleted {
+			t.heldDeletions[r.Key] = Record{Key: r.Key, Revision: r.Revision, Deleted: true}
+		}
+	}
+	for key, e := range known {
+		if e.Deleted {
+			continue
+		}
+		t.storeRecord(Record{Key: key, Value: e.Value}).missingInCopy = true
+		t.heldDeletions[key] = Record{Key: key, Deleted: true}
+	}
+	return changed
+}
+
+// mergeCopied stores the later one of r, a record of a restored store, and e, which was
+// known before and may be nil. It reports whether that changed the record. If r is a
+// deletion that another instance knows of, e stays, and the caller holds the deletion.
+func (t *Table) mergeCopied(r Record, e *tableEntry) (changed bool) {
+	switch {
+	case e == nil:
+		t.storeRecord(r).outlivesCopy = r.Deleted
+		return !r.Deleted
+	case r.Deleted, t.compareStates(r, e) < 0, e.Deleted && t.compareStates(r, e) == 0:
+		kept := t.storeRecord(Record{Key: r.Key, Value: e.Value, Revision: r.Revision, Deleted: e.Deleted})
+		kept.lastValue, kept.outlivesCopy = e.lastValue, !r.Deleted || e.Deleted
+		return false
+	}
+	t.storeRecord(r)
+	return e.Deleted || !bytes.Equal(e.Value, r.Value)
+}
--- a/internal/platform/watcher/source_reader.go
+++ b/internal/platform/watcher/source_reader.go
@@ -17,10 +17,11 @@
 // up to date while one source fails or loses contact to the store.
 type sourceReader struct {
 	*Watcher
-	index          int    // 0 or 1, the index in Watcher.sources.
-	standby        bool   // The feed carries no records.
-	sourceRevision uint64 // Revision that the last message of the feed named.
-	watching       bool   // The last source was the store.
+	index          int      // 0 or 1, the index in Watcher.sources.
+	synced         bool     // The feed has carried records.
+	standby        bool     // The feed carries no records.
+	sourcePosition Position // Position that the last message of the feed named.
+	watching       bool     // The last source was the store.
 }
 
 // run reads until ctx is done.
@@ -38,7 +39,7 @@
 	defer recoverer.Catch("reading of records", func() { sleeper.Sleep(ctx, maxRetryDelay) })
 	now := time.Now()
 	r.mu.Lock()
-	_, loaded := r.table.Revision()
+	_, loaded := r.table.Position()
 	r.mu.Unlock()
 	if !loaded && r.index == 0 && r.mayCallStore(now) {
 		r.loadFirstRecords(ctx)
--- a/internal/platform/watcher/store_calls.go
+++ b/internal/platform/watcher/store_calls.go
@@ -31,7 +31,7 @@
 func (w *Watcher) isLoaded() bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	_, loaded := w.table.Revision()
+	_, loaded := w.table.Position()
 	return loaded
 }
 
@@ -58,6 +58,10 @@
 		if after == "" {
 			all.Revision, all.Epoch = page.Revision, page.Epoch // A watch from the first page's revision also has what changed between the pages.
 		}
+		if page.Epoch != all.Epoch {
+			w.Log.Warn().Uint64("epoch", page.Epoch).Msg("platform: store was restored between two pages; reading them again")
+			return false
+		}
 		all.Records = append(all.Records, page.Records...)
 		if after = page.Next; after == "" {
 			break
@@ -70,13 +74,13 @@
 	if stale {
 		confirmedBy = ""
 	}
-	known := w.Revision()
+	known := w.Position()
 	var changed []Record
-	w.updateTable(start, confirmedBy, func(now time.Time) []Record {
+	w.updateTable(confirmation{start, confirmedBy, all.Epoch}, func(now time.Time) []Record {
 		changed = w.table.LoadAll(now, all)
 		return changed
 	})
-	w.Log.Info().Uint64("epoch", all.Epoch).Uint64("at", all.Revision).Uint64("known", known).Uint64("revision", w.Revision()).
+	w.Log.Info().Uint64("epoch", all.Epoch).Uint64("at", all.Revision).Uint64("known", known.Revision).Uint64("revision", w.Revision()).
 		Int("records", len(all.Records)).Int("changed", len(changed)).Bool("stale", stale).Msg("platform: all records read from the store")
 	return true
 }
@@ -93,17 +97,22 @@
 func (w *Watcher) watchStore(ctx context.Context, timeout time.Duration) bool {
 	watchCtx, cancel := context.WithTimeout(ctx, timeout+watchResponseMargin)
 	defer cancel()
-	revision := w.Revision()
+	known := w.Position()
 	w.callCount.Add(1)
-	b, err := w.Store.Watch(watchCtx, revision, timeout)
-	if errors.Is(err, ErrCompacted) {
-		w.Log.Warn().Uint64("after", revision).Msg("platform: store has compacted the changes; reading all records again")
+	b, err := w.Store.Watch(watchCtx, known.Revision, timeout)
+	switch {
+	case errors.Is(err, ErrCompacted):
+		w.Log.Warn().Uint64("epoch", known.Epoch).Uint64("after", known.Revision).Msg("platform: store does not have the changes; reading all records again")
+		return w.loadRecords(ctx, false, func() bool { return ctx.Err() == nil })
+	case err == nil && b.Epoch > known.Epoch:
+		w.Log.Warn().Uint64("epoch", b.Epoch).Uint64("before", known.Epoch).Uint64("after", known.Revision).
+			Msg("platform: store was restored; reading all records again")
 		return w.loadRecords(ctx, false, func() bool { return ctx.Err() == nil })
 	}
 	if w.handleCallResult(ctx, err, "watch") {
 		return false
 	}
-	w.updateTable(time.Now(), w.Name, func(now time.Time) []Record { return w.table.ApplyChanges(now, b) })
+	w.updateTable(confirmation{time.Now(), w.Name, b.Epoch}, func(now time.Time) []Record { return w.table.ApplyChanges(now, b) })
 	if len(b.Records) > 0 {
 		sleeper.Sleep(ctx, watchSpacing)
 	}
--- a/internal/platform/watcher/table.go
+++ b/internal/platform/watcher/table.go
@@ -9,15 +9,17 @@
 
 // Table holds one instance's copy of the records. Deleted records stay as
 // tombstones, so that followers learn of the deletion. A Table reads no clock and is
-// not safe for concurrent use. The exported field must be set before first use.
+// not safe for concurrent use. The exported fields must be set before first use.
 type Table struct {
-	HoldTime time.Duration // Time after an outage of the store for which deletions are held; 0 means 2.2s.
+	HoldTime time.Duration         // Time after an outage of the store for which deletions are held; 0 means 2.2s.
+	Compare  func(a, b Record) int // Decoder.CompareStates; nil means that all states are equal.
 
 	records        map[string]*tableEntry
 	changeLog      []*tableEntry     // Entries in the order of their sequence, including replaced ones.
 	heldDeletions  map[string]Record // Deletions that are applied after holdUntil unless a newer record arrives, by key.
-	revision       uint64            // Revision up to which all changes are known.
+	position       Position          // Position up to which all changes are known.
 	sequence       uint64            // Number of the last change to this table. Revisions cannot tell what a follower lacks, because a held deletion is applied long after its revision.
+	epochSequence  uint64            // Number of the first change in the epoch of position.
 	prunedRevision uint64            // Tombstones up to this revision may be missing.
 	loaded         bool              // Set after the first load of all records.
 	confirmedAt    time.Time         // Time at which the records were last known to equal those of the store.
@@ -27,7 +29,14 @@
 // tableEntry is a record with the number of its last change.
 type tableEntry struct {
 	Record
-	sequence uint64
+	sequence  uint64
+	lastValue []byte // Value of the record or, after a deletion, its value before.
+	// The store was restored from a copy that has an older state of this record, at the
+	// same revision.
+	outlivesCopy bool
+	// The store was restored from a copy without this record, which nobody has written
+	// again yet.
+	missingInCopy bool
 }
 
 const (
@@ -44,9 +53,9 @@
 	minChangeLog = 64
 )
 
-// Revision returns the revision up to which all changes are known; ok is false
+// Position returns the position up to which all changes are known; ok is false
 // before the first load.
-func (t *Table) Revision() (revision uint64, ok bool) { return t.revision, t.loaded }
+func (t *Table) Position() (p Position, ok bool) { return t.position, t.loaded }
 
 // ConfirmedAt returns the time at which the records were last known to equal those
 // of the store.
@@ -58,36 +67,53 @@
 // arrive right after an outage are held.
 func (t *Table) RecordConfirmation(now, confirmedAt time.Time) {
 	if t.loaded && !t.confirmedAt.IsZero() && confirmedAt.Sub(t.confirmedAt) > minOutage {
-		hold := t.HoldTime
-		if hold == 0 {
-			hold = defaultHoldTime
-		}
-		t.holdUntil = now.Add(hold)
+		t.startHold(now)
 	}
 	if confirmedAt.After(t.confirmedAt) {
 		t.confirmedAt = confirmedAt
 	}
 }
 
-// ApplyChanges applies the changes in b and returns the records that changed.
+// startHold begins to hold deletions.
+func (t *Table) startHold(now time.Time) {
+	hold := t.HoldTime
+	if hold == 0 {
+		hold = defaultHoldTime
+	}
+	t.holdUntil = now.Add(hold)
+}
+
+// ApplyChanges applies the changes in b and returns the records that changed. Changes
+// of another epoch are ignored.
 func (t *Table) ApplyChanges(now time.Time, b Batch) []Record {
 	t.init()
+	if b.Epoch != t.position.Epoch {
+		return nil
+	}
 	var changed []Record
 	for _, r := range b.Records {
 		if t.applyRecord(now, r) {
 			changed = append(changed, r)
 		}
 	}
-	t.revision = max(t.revision, b.Revision)
+	t.position.Revision = max(t.position.Revision, b.Revision)
 	t.pruneTombstones()
 	return changed
 }
 
 // LoadAll applies b, which has all records that exist at its revision, and returns the
 // records that changed. Records that b lacks are deleted unless they changed after
-// that revision.
+// that revision. A batch of an earlier epoch is ignored; one of a later epoch starts it.
 func (t *Table) LoadAll(now time.Time, b Batch) []Record {
 	t.init()
+	switch {
+	case !t.loaded:
+		t.position.Epoch = b.Epoch
+	case b.Epoch < t.position.Epoch:
+		return nil
+	case b.Epoch > t.position.Epoch:
+		return t.startEpoch(now, b)
+	}
 	listed := make(map[string]bool, len(b.Records))
 	for _, r := range b.Records {
 		listed[r.Key] = true
@@ -111,7 +137,7 @@
 	var changed []Record
 	for key, r := range t.heldDeletions {
 		delete(t.heldDeletions, key)
-		r.Revision = max(r.Revision, t.revision)
+		r.Revision = max(r.Revision, t.position.Revision)
 		t.storeRecord(r)
 		changed = append(changed, r)
 	}
@@ -121,11 +147,13 @@
 // HeldCount returns the number of held deletions.
 func (t *Table) HeldCount() int { return len(t.heldDeletions) }
 
-// ChangesSince returns the records that changed after the revision after or, when
+// ChangesSince returns the records that changed after the position after or, when
 // sequence is above 0, after the change with that number. It also returns the number
-// of the last change. Full is set when the result has all records that exist.
-func (t *Table) ChangesSince(after, sequence uint64) (records []Record, lastSequence uint64, full bool) {
-	if sequence > 0 {
+// of the last change. Full is set when the result has all records that exist. The
+// receiver may have read a restored store itself, so the result has the records that
+// outlive the copy. Those that are missing in it are left to each receiver.
+func (t *Table) ChangesSince(after Position, sequence uint64) (records []Record, lastSequence uint64, full bool) {
+	if sequence > 0 && sequence >= t.epochSequence {
 		first, _ := slices.BinarySearchFunc(t.changeLog, sequence+1, func(e *tableEntry, n uint64) int { return cmp.Compare(e.sequence, n) })
 		for _, e := range t.changeLog[first:] {
 			if t.records[e.Key] == e {
@@ -133,9 +161,9 @@
 			}
 		}
 	} else {
-		full = after == 0 || after < t.prunedRevision
+		full = sequence > 0 || after.Epoch != t.position.Epoch || after.Revision == 0 || after.Revision < t.prunedRevision
 		for _, e := range t.records {
-			if full && !e.Deleted || !full && e.Revision > after {
+			if e.outlivesCopy || !e.missingInCopy && (full && !e.Deleted || !full && e.Revision > after.Revision) {
 				records = append(records, e.Record)
 			}
 		}
@@ -166,7 +194,7 @@
 // is a deletion right after an outage. It reports whether the records changed.
 func (t *Table) applyRecord(now time.Time, r Record) bool {
 	previous := t.records[r.Key]
-	if previous != nil && previous.Revision >= r.Revision {
+	if previous != nil && !t.isLater(r, previous) {
 		return false
 	}
 	if r.Deleted && now.Before(t.holdUntil) && previous != nil && !previous.Deleted {
@@ -174,18 +202,45 @@
 		return false
 	}
 	delete(t.heldDeletions, r.Key)
-	t.storeRecord(r)
+	e := t.storeRecord(r)
+	e.outlivesCopy = previous != nil && previous.Revision == r.Revision
 	return previous != nil || !r.Deleted
 }
 
-func (t *Table) storeRecord(r Record) {
+// isLater reports whether r is a later state than previous. At the same revision one of
+// them is from a restored copy of the store, and the other one is what an instance knew
+// before the restore.
+func (t *Table) isLater(r Record, previous *tableEntry) bool {
+	switch {
+	case r.Revision != previous.Revision:
+		return r.Revision > previous.Revision
+	case r.Deleted || previous.Deleted:
+		return r.Deleted && !previous.Deleted
+	}
+	return t.compareStates(r, previous) > 0
+}
+
+// compareStates compares r with the last value of e by the counters of their writer.
+func (t *Table) compareStates(r Record, e *tableEntry) int {
+	if t.Compare == nil {
+		return 0
+	}
+	return t.Compare(r, Record{Key: r.Key, Value: e.lastValue})
+}
+
+// storeRecord replaces the record with the key of r and returns its entry.
+func (t *Table) storeRecord(r Record) *tableEntry {
 	t.sequence++
-	e := &tableEntry{r, t.sequence}
+	e := &tableEntry{Record: r, sequence: t.sequence, lastValue: r.Value}
+	if previous := t.records[r.Key]; r.Deleted && previous != nil {
+		e.lastValue = previous.lastValue
+	}
 	t.records[r.Key] = e
 	t.changeLog = append(t.changeLog, e)
 	if len(t.changeLog) > 2*len(t.records)+minChangeLog {
 		t.changeLog = slices.DeleteFunc(t.changeLog, func(e *tableEntry) bool { return t.records[e.Key] != e })
 	}
+	return e
 }
 
 // pruneTombstones removes the older half of the tombstones when there are too many.
--- a/internal/platform/watcher/table_test.go
+++ b/internal/platform/watcher/table_test.go
@@ -104,21 +104,21 @@
 // deletion, which is applied long after its revision.
 func TestChangesSince(t *testing.T) {
 	table := newLoadedTable(newRecord("a", 1), newRecord("b", 2))
-	if records, _, full := table.ChangesSince(0, 0); !full || len(records) != 2 {
+	if records, _, full := table.ChangesSince(watcher.Position{}, 0); !full || len(records) != 2 {
 		t.Errorf("got %d records, all: %v, want 2 and true for a new follower", len(records), full)
 	}
-	_, lastSequence, full := table.ChangesSince(10, 0)
+	_, lastSequence, full := table.ChangesSince(watcher.Position{Revision: 10}, 0)
 	if full {
 		t.Error("got all records for a follower of revision 10, want changes")
 	}
 	outageEnd := startTime.Add(6 * time.Second)
 	table.RecordConfirmation(outageEnd, outageEnd)
 	table.ApplyChanges(outageEnd, watcher.Batch{Records: []watcher.Record{newDeletion("a", 11)}, Revision: 11})
-	if records, _, _ := table.ChangesSince(10, lastSequence); len(records) != 0 {
+	if records, _, _ := table.ChangesSince(watcher.Position{Revision: 10}, lastSequence); len(records) != 0 {
 		t.Errorf("got %d records while the deletion waits, want 0", len(records))
 	}
 	table.ApplyHeldDeletions(outageEnd.Add(3 * time.Second))
-	records, _, _ := table.ChangesSince(10, lastSequence)
+	records, _, _ := table.ChangesSince(watcher.Position{Revision: 10}, lastSequence)
 	if len(records) != 1 || !records[0].Deleted {
 		t.Errorf("got %v, want the deletion of a", records)
 	}
--- a/internal/platform/watcher/watcher.go
+++ b/internal/platform/watcher/watcher.go
@@ -67,7 +67,7 @@
 	latestList     atomic.Pointer[reader.List]
 	callCount      atomic.Int64
 	storeFailing   atomic.Bool
-	decodedEntries map[string]decodedEntry // Result of the decoding of each record, by key; avoids decoding a record again.
+	decodedEntries map[string]decodedEntry // Result of the decoding of each record that has not changed since, by key.
 	malformedKeys  map[string]bool         // Keys of malformed records that were logged.
 	nextStoreCall  time.Time               // No call to the store is made before this time.
 	retryDelay     time.Duration
@@ -87,11 +87,17 @@
 	duration time.Duration
 }
 
-// decodedEntry is the result of decoding the record with the given revision.
+// decodedEntry is the result of decoding a record.
 type decodedEntry struct {
-	revision uint64
-	entry    reader.Entry
-	ok       bool
+	entry reader.Entry
+	ok    bool
+}
+
+// confirmation says that the records at an epoch were known to equal those of the store.
+type confirmation struct {
+	at    time.Time
+	by    string // Name of the instance to which the store confirmed them; empty for no confirmation.
+	epoch uint64
 }
 
 const (
@@ -179,11 +185,14 @@
 func (w *Watcher) CallCount() int64 { return w.callCount.Load() }
 
 // Revision returns the revision up to which all changes are known.
-func (w *Watcher) Revision() uint64 {
+func (w *Watcher) Revision() uint64 { return w.Position().Revision }
+
+// Position returns the position up to which all changes are known.
+func (w *Watcher) Position() Position {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	revision, _ := w.table.Revision()
-	return revision
+	p, _ := w.table.Position()
+	return p
 }
 
 // Run keeps the records up to date until ctx is done and returns nil.
@@ -219,46 +228,50 @@
 		}
 		w.changed, w.avoided = make(chan struct{}), make(map[string]avoidance)
 		w.decodedEntries, w.malformedKeys = make(map[string]decodedEntry), make(map[string]bool)
+		w.table.Compare = w.Decoder.CompareStates
 	}
 }
 
-// updateTable calls apply on the table and publishes the changed records. Unless it is
-// empty, confirmedBy names the instance to which the store confirmed the records as of
-// confirmedAt.
-func (w *Watcher) updateTable(confirmedAt time.Time, confirmedBy string, apply func(now time.Time) []Record) {
+// updateTable records c, calls apply on the table and publishes the changed records.
+func (w *Watcher) updateTable(c confirmation, apply func(now time.Time) []Record) {
 	w.updateMu.Lock()
 	defer w.updateMu.Unlock()
-	live, revision, changed := w.updateLockedTable(confirmedAt, confirmedBy, apply)
+	live, revision, changed := w.updateLockedTable(c, apply)
 	if len(changed) > 0 || w.latestList.Load() == nil {
 		w.publishChanges(revision, live, changed)
 	}
 }
 
-// updateLockedTable calls apply on the locked table. It returns the changed records and,
-// if the list has to be published, all records.
-func (w *Watcher) updateLockedTable(confirmedAt time.Time, confirmedBy string, apply func(now time.Time) []Record) (live []Record, revision uint64, changed []Record) {
+// updateLockedTable records c and calls apply on the locked table. It returns the changed
+// records and, if the list has to be published, all records. A confirmation of an epoch
+// before that of the table says nothing about the store as it is now.
+func (w *Watcher) updateLockedTable(c confirmation, apply func(now time.Time) []Record) (live []Record, revision uint64, changed []Record) {
 	now := time.Now()
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	first := w.table.ConfirmedAt().IsZero()
-	if confirmedBy != "" {
-		if confirmedAt.After(w.table.ConfirmedAt()) {
-			w.confirmedBy = confirmedBy
+	before, _ := w.table.Position()
+	if c.epoch < before.Epoch {
+		c.by = ""
+	}
+	if c.by != "" {
+		if c.at.After(w.table.ConfirmedAt()) {
+			w.confirmedBy = c.by
 		}
-		w.table.RecordConfirmation(now, confirmedAt)
+		w.table.RecordConfirmation(now, c.at)
 	}
 	changed = apply(now)
 	if len(changed) > 0 || w.latestList.Load() == nil {
 		live = w.table.LiveRecords()
 	}
-	revision, _ = w.table.Revision()
+	after, _ := w.table.Position()
 	if now.Sub(w.table.ConfirmedAt()) < staleAge {
 		w.postponeStoreCall(now, len(w.Fleet.UsableMembers("", w.Region)))
 	}
-	if len(changed) > 0 || confirmedBy != "" && first {
+	if len(changed) > 0 || c.by != "" && first {
 		w.notifyFollowers()
 	}
-	return live, revision, changed
+	return live, after.Revision, changed
 }
 
 // notifyFollowers wakes the streams to followers. The caller must hold w.mu.
@@ -273,6 +286,6 @@
 	held := w.table.HeldCount()
 	w.mu.Unlock()
 	if held > 0 {
-		w.updateTable(time.Time{}, "", w.table.ApplyHeldDeletions)
+		w.updateTable(confirmation{}, w.table.ApplyHeldDeletions)
 	}
 }
--- a/internal/platform/watcher/watcher_test.go
+++ b/internal/platform/watcher/watcher_test.go
@@ -1,6 +1,7 @@
 package watcher_test
 
 import (
+	"bytes"
 	"cmp"
 	"context"
 	"fmt"
@@ -43,6 +44,7 @@
 	mu                sync.Mutex
 	records           map[string]watcher.Record
 	revision          uint64
+	epoch             uint64
 	compactedRevision uint64 // Changes up to this revision are no longer known.
 	callCount         int
 	pageSize          int // Number of records in a page; 0 means all.
@@ -63,7 +65,7 @@
 }
 
 func (s *fakeStore) changesSince(after uint64, live bool) watcher.Batch {
-	b := watcher.Batch{Revision: s.revision}
+	b := watcher.Batch{Revision: s.revision, Epoch: s.epoch}
 	for _, r := range s.records {
 		if r.Revision > after && !(live && r.Deleted) {
 			b.Records = append(b.Records, r)
@@ -116,7 +118,7 @@
 	s.callCount++
 	b, changed, compacted := s.changesSince(after, false), s.changed, s.compactedRevision
 	s.fakeStore.mu.Unlock()
-	if after < compacted {
+	if after < compacted || after > b.Revision {
 		return watcher.Batch{}, watcher.ErrCompacted
 	}
 	if len(b.Records) > 0 {
@@ -134,6 +136,9 @@
 	}
 	s.fakeStore.mu.Lock()
 	defer s.fakeStore.mu.Unlock()
+	if s.epoch != b.Epoch {
+		return watcher.Batch{}, errUnreachable // A restore cuts the watches that wait.
+	}
 	return s.changesSince(after, false), nil
 }
 
@@ -157,6 +162,8 @@
 	return reader.Entry{Name: name, Service: "s", Address: netip.AddrPortFrom(netip.IPv6LinkLocalAllNodes(), port)}, ok, nil
 }
 
+func (fakeDecoder) CompareStates(a, b watcher.Record) int { return bytes.Compare(a.Value, b.Value) }
+
 // bundleRecorder keeps the text and the revision of the last bundle.
 type bundleRecorder struct {
 	mu       sync.Mutex
