Wait longer while the store never has the changes after a read

What callers saw: nothing; the store was called without a pause. Cause: a watch that gets 410 led to a read of all records at once, also when the read before had not helped; a read that succeeds reset the backoff. Class: a retry whose success does not show that the cause is gone. Evidence: TestForgetfulStore: 4,993 calls in 10 s before, with the delay reset by each read still 241; at most 80 are meant. Change: a store that is as far as before and still lacks the changes counts as failing, and only a watch that succeeds ends the backoff.

--- a/internal/platform/watcher/store_calls.go
+++ b/internal/platform/watcher/store_calls.go
@@ -52,7 +52,7 @@
 	var all Batch
 	for after := ""; ; {
 		page, err := w.readPage(ctx, after, stale)
-		if w.handleCallResult(ctx, err, "range") {
+		if w.handleCallResult(ctx, err, rangeCall) {
 			return false
 		}
 		if after == "" {
@@ -103,13 +103,17 @@
 	switch {
 	case errors.Is(err, ErrCompacted):
 		w.Log.Warn().Uint64("epoch", known.Epoch).Uint64("after", known.Revision).Msg("platform: store does not have the changes; reading all records again")
-		return w.loadRecords(ctx, false, func() bool { return ctx.Err() == nil })
+		if !w.loadRecords(ctx, false, func() bool { return ctx.Err() == nil }) {
+			return false
+		}
+		// A store that is as far as before and still lacks the changes is out of order.
+		return w.Position() != known || !w.handleCallResult(ctx, err, watchCall)
 	case err == nil && b.Epoch > known.Epoch:
 		w.Log.Warn().Uint64("epoch", b.Epoch).Uint64("before", known.Epoch).Uint64("after", known.Revision).
 			Msg("platform: store was restored; reading all records again")
 		return w.loadRecords(ctx, false, func() bool { return ctx.Err() == nil })
 	}
-	if w.handleCallResult(ctx, err, "watch") {
+	if w.handleCallResult(ctx, err, watchCall) {
 		return false
 	}
 	w.updateTable(confirmation{time.Now(), w.Name, b.Epoch}, func(now time.Time) []Record { return w.table.ApplyChanges(now, b) })
@@ -119,6 +123,12 @@
 	return true
 }
 
+// Calls to the store in log lines.
+const (
+	rangeCall = "range"
+	watchCall = "watch"
+)
+
 // handleCallResult updates the backoff after a call to the store, logs when calls
 // begin or cease to fail and reports whether this call failed.
 func (w *Watcher) handleCallResult(ctx context.Context, err error, call string) bool {
@@ -128,7 +138,10 @@
 		}
 		w.mu.Lock()
 		defer w.mu.Unlock()
-		w.retryDelay, w.nextStoreCall = 0, time.Time{}
+		w.nextStoreCall = time.Time{}
+		if call == watchCall {
+			w.retryDelay = 0 // Reads of all records may succeed while each watch fails.
+		}
 		return false
 	}
 	if ctx.Err() != nil {
