Wait between two tries of a source while all sources fail

Cause: when all sources are avoided, the one whose turn is next is used meanwhile, without a delay after its failure. Change: after the failure of a source that was avoided anyway, the reader waits 100 ms.

--- a/internal/platform/watcher/follower.go
+++ b/internal/platform/watcher/follower.go
@@ -11,6 +11,7 @@
 	"sardinelever.example/sardinelever/internal/fleet/connector"
 	"sardinelever.example/sardinelever/internal/fleet/messenger"
 	"sardinelever.example/sardinelever/internal/fleet/registrar"
+	"sardinelever.example/sardinelever/internal/flow/sleeper"
 )
 
 // followMember reads the feed of m until it times out, its records are stale or
@@ -22,12 +23,16 @@
 		return
 	}
 	w.mu.Lock()
+	wasAvoided := start.Before(w.avoided[m.Name].until)
 	w.avoidSource(m.Name, time.Now(), time.Since(start) >= stableFeedTime)
 	if !errors.Is(err, errStale) {
 		w.unreachableSources++
 	}
 	w.mu.Unlock()
 	w.Log.Warn().Str("instance", m.Name).Err(err).Uint64("revision", w.Revision()).Msg("platform: stopped following the records of another instance")
+	if wasAvoided {
+		sleeper.Sleep(ctx, minRetryDelay) // All other sources have failed too.
+	}
 }
 
 // avoidSource keeps the named instance from being followed for a while, which doubles
--- a/internal/platform/watcher/retry_test.go
+++ b/internal/platform/watcher/retry_test.go
@@ -60,3 +60,31 @@
 		}
 	})
 }
+
+// refusingFleet has one other instance, which refuses each stream at once.
+type refusingFleet struct{ openCount atomic.Int64 }
+
+func (*refusingFleet) UsableMembers(string, string) []registrar.Member {
+	return []registrar.Member{{Name: "other", PeerAddr: netip.AddrPortFrom(netip.IPv4Unspecified(), 1)}, {Name: "self"}}
+}
+
+func (f *refusingFleet) OpenStream(context.Context, netip.AddrPort, connector.StreamKind) (net.Conn, error) {
+	f.openCount.Add(1)
+	return nil, errUnreachable
+}
+
+// TestRefusingSource guards against an instance that spins on its only source while that
+// refuses it and the store is away.
+func TestRefusingSource(t *testing.T) {
+	f := new(refusingFleet)
+	w := &watcher.Watcher{
+		Store: &storeView{fakeStore: newFakeStore(), unreachable: true}, Decoder: fakeDecoder{}, Name: "self", Fleet: f, StreamOpener: f, BundleSink: new(bundleRecorder), Log: &discardLogger,
+	}
+	const runTime = 2 * time.Second
+	ctx, cancel := context.WithTimeout(t.Context(), runTime)
+	defer cancel()
+	_ = w.Run(ctx)
+	if got, want := f.openCount.Load(), int64(2*runTime/(100*time.Millisecond))+2; got > want {
+		t.Errorf("got %d tries in %v, want at most %d, one for each of two readers in 100 ms", got, runTime, want)
+	}
+}
--- a/internal/platform/watcher/watcher.go
+++ b/internal/platform/watcher/watcher.go
@@ -149,6 +149,7 @@
 	// together, that are made because no other instance has contact to it.
 	lonelyCallsPerSecond = 20.0
 	// minRetryDelay and maxRetryDelay bound the backoff after failed calls to the store.
+	// minRetryDelay is also the delay after a failure while all sources fail.
 	minRetryDelay = 100 * time.Millisecond
 	maxRetryDelay = 2 * time.Second
 	// sourceCheckPeriod is the time between two searches for a source while there is none.
