Drop only what was open in TestSilentConnection of the registrar

Cause: the test is about a connection that drops one direction while new ones work, but its proxy dropped on new connections too, until the test noticed that the session was closed. A dial in that time failed, and the suspicion that the test forbids was right. Change: the proxy of this repository drops what callers send on the connections that are open, and forwards new ones; the test waits until these are closed. Its check is the same.

--- a/internal/fleet/registrar/fleet_test.go
+++ b/internal/fleet/registrar/fleet_test.go
@@ -111,25 +111,21 @@
 // existing connection drops all data in one direction while new connections work.
 func TestSilentConnection(t *testing.T) {
 	all := startFleet(t, 3, heartbeatPeriod)
-	p := &injector.DirectionalProxy{Target: all[1].PeerAddr}
-	if err := p.Start(); err != nil {
+	p := &injector.Proxy{Target: all[1].PeerAddr}
+	addr, err := p.Start()
+	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(p.Stop)
-	fleetrunner.DistributeList(all, all, map[string]netip.AddrPort{"i1": p.Addr()})
+	fleetrunner.DistributeList(all, all, map[string]netip.AddrPort{"i1": addr})
 	through := func() bool {
 		return slices.ContainsFunc(all[0].Connector.Stats().Sessions, func(s connector.SessionStats) bool {
-			return s.Dialed && s.PeerAddr == p.Addr() && s.OpenStreams > 0
+			return s.Dialed && s.PeerAddr == addr && s.OpenStreams > 0
 		})
 	}
 	waitUntil(t, "session through the proxy", through)
-	if err := p.DropDirection(injector.Upstream); err != nil {
-		t.Fatal(err)
-	}
-	waitUntil(t, "closed session", func() bool { return !through() })
-	if err := p.RestoreDirection(); err != nil {
-		t.Fatal(err)
-	}
+	p.DropRequests()
+	waitUntil(t, "closed sessions", func() bool { return p.DroppingConns() == 0 })
 	waitUntil(t, "new session", through)
 	for _, x := range all {
 		for _, c := range x.Audit.Changes() {
--- a/internal/standin/injector/proxied_conn.go
+++ b/internal/standin/injector/proxied_conn.go
@@ -12,6 +12,7 @@
 	proxy         *Proxy
 	caller        net.Conn
 	dropAll       atomic.Bool // Drops the bytes of both directions.
+	dropRequests  atomic.Bool // Drops the bytes from caller to target.
 	dropResponses atomic.Bool // Drops the bytes from target to caller.
 
 	mu     sync.Mutex
@@ -36,7 +37,7 @@
 	}
 	responsesDone := make(chan struct{})
 	go c.forwardResponses(responsesDone)
-	c.copy(target, c.caller, &c.dropAll)
+	c.copy(target, c.caller, &c.dropRequests)
 	<-responsesDone
 }
 
--- a/internal/standin/injector/proxy.go
+++ b/internal/standin/injector/proxy.go
@@ -51,6 +51,28 @@
 	return len(p.conns)
 }
 
+// DropRequests drops the bytes to Target on all open connections. Bytes from Target are
+// still forwarded, and new connections are forwarded as usual.
+func (p *Proxy) DropRequests() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for c := range p.conns {
+		c.dropRequests.Store(true)
+	}
+}
+
+// DroppingConns returns the number of open connections that DropRequests was called for.
+func (p *Proxy) DroppingConns() (n int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for c := range p.conns {
+		if c.dropRequests.Load() {
+			n++
+		}
+	}
+	return n
+}
+
 // DropResponses drops the bytes from Target on all open connections. Bytes to Target are
 // still forwarded.
 func (p *Proxy) DropResponses() {
