Keep what is known beyond a copy through a second restore

Cause: the fix of the restored store held for one restore. While the store was away again the hold time ran out, and servers that nobody could write again were dropped (an absence concluded without a confirmation). Deletions of records that the first copy lacks were forgotten, so a server that left was back with the second copy; and a deletion made from an absence stood against a second copy that has the record. Change: a record that the copy lacks is only dropped once the store was confirmed after the hold time; such deletions keep no value, and others stay through the next restore. TestRestoredRecords now confirms the records before it expects the drop, and checks that nothing is dropped without.

--- a/internal/platform/watcher/restore.go
+++ b/internal/platform/watcher/restore.go
@@ -29,12 +29,13 @@
 		delete(known, r.Key)
 		if t.mergeCopied(r, e) {
 			changed = append(changed, r)
-		} else if _, ok := held[r.Key]; ok || r.Deleted && e != nil && !e.Deleted {
+		} else if _, ok := held[r.Key]; ok && !e.missingInCopy || r.Deleted && e != nil && !e.Deleted {
 			t.heldDeletions[r.Key] = Record{Key: r.Key, Revision: r.Revision, Deleted: true}
 		}
 	}
 	for key, e := range known {
 		if e.Deleted {
+			t.storeRecord(Record{Key: key, Deleted: true}).lastValue = e.lastValue // The next copy may have it.
 			continue
 		}
 		t.storeRecord(Record{Key: key, Value: e.Value}).missingInCopy = true
--- /dev/null
+++ b/internal/platform/watcher/restore_model_test.go
@@ -0,0 +1,166 @@
+package watcher_test
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"sardinelever.example/sardinelever/internal/platform/watcher"
+)
+
+// TestDeletionAcrossTwoRestores guards against a server that left, is missing in the copy
+// of the first restore and in use again because that of the second one has it.
+func TestDeletionAcrossTwoRestores(t *testing.T) {
+	table := newComparingTable(watcher.Batch{Epoch: 1, Revision: 20, Records: []watcher.Record{newState("calm", 3, 1)}})
+	table.ApplyChanges(startTime, watcher.Batch{Epoch: 1, Revision: 30, Records: []watcher.Record{newState("left", 25, 1)}})
+	table.ApplyChanges(startTime, watcher.Batch{Epoch: 1, Revision: 31, Records: []watcher.Record{newDeletion("left", 31)}})
+	table.LoadAll(startTime.Add(time.Second), watcher.Batch{Epoch: 2, Revision: 20, Records: []watcher.Record{newState("calm", 3, 1)}})
+	table.ApplyHeldDeletions(startTime.Add(5 * time.Second))
+	table.LoadAll(startTime.Add(9*time.Second), watcher.Batch{Epoch: 3, Revision: 30, Records: []watcher.Record{newState("calm", 3, 1), newState("left", 25, 1)}})
+	if got, want := liveStates(table), "calm1 "; got != want {
+		t.Errorf("got %q, want %q", got, want)
+	}
+}
+
+// TestHoldAcrossTwoRestores guards against a record that the copy of the first restore lacks
+// and that is dropped although the copy of the second one has it.
+func TestHoldAcrossTwoRestores(t *testing.T) {
+	table := newComparingTable(watcher.Batch{Epoch: 1, Revision: 30, Records: []watcher.Record{newState("calm", 3, 1), newState("new", 25, 1)}})
+	table.LoadAll(startTime.Add(time.Second), watcher.Batch{Epoch: 2, Revision: 20, Records: []watcher.Record{newState("calm", 3, 1)}})
+	table.LoadAll(startTime.Add(2*time.Second), watcher.Batch{Epoch: 3, Revision: 21, Records: []watcher.Record{newState("calm", 3, 1), newState("new", 21, 1)}})
+	table.ApplyHeldDeletions(startTime.Add(10 * time.Second))
+	if got, want := liveStates(table), "calm1 new1 "; got != want {
+		t.Errorf("got %q, want %q", got, want)
+	}
+}
+
+// storeModel is a store and the writers of its records.
+type storeModel struct {
+	changes [][]watcher.Record // By epoch; the first ones of each are those of the copy.
+	state   map[string]byte    // The last state that each writer wrote.
+	alive   map[string]bool
+	step    byte // By how much the state rises when it is written again.
+}
+
+func (m *storeModel) current() []watcher.Record { return m.changes[len(m.changes)-1] }
+
+func (m *storeModel) write(key string, deleted bool) {
+	n := len(m.changes) - 1
+	r := newState(key, uint64(len(m.changes[n])+1), m.state[key])
+	if r.Deleted = deleted; deleted {
+		r.Value = nil
+	}
+	m.changes[n] = append(m.changes[n], r)
+}
+
+func (m *storeModel) batch() watcher.Batch {
+	b := batchOf(uint64(len(m.changes)), m.current())
+	b.Records = slices.DeleteFunc(b.Records, func(r watcher.Record) bool { return r.Deleted })
+	return b
+}
+
+// read lets table read the store: its changes or, after a restore, all records.
+func (m *storeModel) read(now time.Time, table *watcher.Table, all bool) {
+	p, loaded := table.Position()
+	b := m.batch()
+	if all || !loaded || p.Epoch != b.Epoch {
+		table.LoadAll(now, b)
+	} else {
+		b.Records = slices.Clone(m.current()[p.Revision:])
+		table.ApplyChanges(now, b)
+	}
+	table.RecordConfirmation(now, now)
+	table.ApplyHeldDeletions(now)
+}
+
+// settle writes again what the last copy lacks, and removes what nobody writes.
+func (m *storeModel) settle() (want string) {
+	stored := make(map[string]byte)
+	for _, r := range m.batch().Records {
+		stored[r.Key] = r.Value[0]
+	}
+	for _, key := range slices.Sorted(maps.Keys(m.state)) {
+		switch {
+		case m.alive[key] && stored[key] != m.state[key]:
+			m.state[key] += m.step // Writers count their writes.
+			m.write(key, false)
+		case !m.alive[key] && stored[key] > 0:
+			m.write(key, true)
+		}
+		if m.alive[key] {
+			want += fmt.Sprintf("%s%d ", key, m.state[key])
+		}
+	}
+	return want
+}
+
+// TestRestoreModel guards against records that differ from those of the store after any
+// restores, once their writers have written them again and the hold time is over, and
+// against one that was known to have left for good and is in use again.
+func TestRestoreModel(t *testing.T) {
+	for _, c := range []struct {
+		step     byte
+		restores int
+	}{{1, 1}, {0, 1}, {1, 2}, {0, 2}} {
+		t.Run(fmt.Sprintf("%d/%d", c.step, c.restores), func(t *testing.T) { checkRestoreModel(t, c.step, c.restores) })
+	}
+}
+
+func checkRestoreModel(t *testing.T, counterStep byte, restores int) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := &storeModel{changes: [][]watcher.Record{nil}, state: make(map[string]byte), alive: make(map[string]bool), step: counterStep}
+		m.state["z"], m.alive["z"] = 1, true
+		m.write("z", false) // Revisions of a store begin above 0.
+		table, now := &watcher.Table{Compare: fakeDecoder{}.CompareStates}, startTime
+		gone, seen := make(map[string]bool), make(map[string]byte) // Left for good, as the table knew; the last state that it knew.
+		keys := []string{"a", "b", "c"}
+		for range rapid.IntRange(1, 40).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(1, 30).Draw(t, "ds")) * 100 * time.Millisecond)
+			key := rapid.SampledFrom(keys).Draw(t, "key")
+			switch step := rapid.SampledFrom([]string{"write", "write", "leave", "restore", "read", "read", "readAll", "settle"}).Draw(t, "step"); step {
+			case "write":
+				m.state[key]++
+				m.alive[key] = true
+				m.write(key, false)
+				delete(gone, key)
+			case "leave":
+				if m.alive[key] {
+					m.alive[key] = false
+					m.write(key, true)
+				}
+			case "settle":
+				m.settle()
+			case "restore":
+				if len(m.changes) > restores {
+					continue
+				}
+				m.changes = append(m.changes, slices.Clone(m.current()[:rapid.IntRange(1, len(m.current())).Draw(t, "cut")]))
+			default:
+				m.read(now, table, step == "readAll")
+				for _, r := range table.LiveRecords() {
+					seen[r.Key] = r.Value[0]
+					if gone[r.Key] {
+						t.Fatalf("got %s%d in use, which left before, want it unused", r.Key, r.Value[0])
+					}
+				}
+				for _, k := range keys {
+					if m.state[k] > 0 && seen[k] == m.state[k] && !m.alive[k] && !slices.ContainsFunc(table.LiveRecords(), func(r watcher.Record) bool { return r.Key == k }) &&
+						slices.ContainsFunc(m.current(), func(r watcher.Record) bool { return r.Key == k && r.Deleted }) {
+						gone[k] = true
+					}
+				}
+			}
+		}
+		want := m.settle()
+		for i := range 10 {
+			m.read(now.Add(time.Duration(i)*time.Second), table, false)
+		}
+		if got := liveStates(table); got != want {
+			t.Fatalf("got %q, want %q", got, want)
+		}
+	})
+}
--- a/internal/platform/watcher/restore_test.go
+++ b/internal/platform/watcher/restore_test.go
@@ -55,6 +55,7 @@
 	copied := watcher.Batch{Epoch: 2, Revision: 21, Records: []watcher.Record{
 		newState("calm", 3, 1), newState("drained", 4, 1), newState("left", 5, 1), newState("lagged", 21, 2),
 	}}
+	table.RecordConfirmation(restored, restored)
 	changed := table.LoadAll(restored, copied)
 	if got, want := liveStates(table), "calm1 drained2 lagged2 lost1 new1 "; got != want {
 		t.Fatalf("got %q right after the restore, want %q", got, want)
@@ -73,6 +74,10 @@
 	if changed := table.ApplyHeldDeletions(restored.Add(2 * time.Second)); len(changed) != 0 {
 		t.Errorf("got %v dropped within the 2 s of the platform, want none", changed)
 	}
+	if changed := table.ApplyHeldDeletions(restored.Add(3 * time.Second)); len(changed) != 0 {
+		t.Errorf("got %v dropped without a confirmation that they are still missing, want none", changed)
+	}
+	table.RecordConfirmation(restored.Add(3*time.Second), restored.Add(2300*time.Millisecond))
 	table.ApplyHeldDeletions(restored.Add(3 * time.Second))
 	if got, want := liveStates(table), "calm1 drained2 lagged2 new1 "; got != want {
 		t.Errorf("got %q, want %q", got, want)
--- a/internal/platform/watcher/table.go
+++ b/internal/platform/watcher/table.go
@@ -30,7 +30,7 @@
 type tableEntry struct {
 	Record
 	sequence  uint64
-	lastValue []byte // Value of the record or, after a deletion, its value before.
+	lastValue []byte // Value of the record or, after its writer or the store deleted it, its value before.
 	// The store was restored from a copy that has an older state of this record, at the
 	// same revision.
 	outlivesCopy bool
@@ -136,6 +136,9 @@
 	}
 	var changed []Record
 	for key, r := range t.heldDeletions {
+		if t.records[key].missingInCopy && t.confirmedAt.Before(t.holdUntil) {
+			continue // The store is away again, so the writer could not write it.
+		}
 		delete(t.heldDeletions, key)
 		r.Revision = max(r.Revision, t.position.Revision)
 		t.storeRecord(r)
@@ -232,7 +235,7 @@
 func (t *Table) storeRecord(r Record) *tableEntry {
 	t.sequence++
 	e := &tableEntry{Record: r, sequence: t.sequence, lastValue: r.Value}
-	if previous := t.records[r.Key]; r.Deleted && previous != nil {
+	if previous := t.records[r.Key]; r.Deleted && previous != nil && !previous.missingInCopy {
 		e.lastValue = previous.lastValue
 	}
 	t.records[r.Key] = e
