Pass on through relays what a restored store lacks

Cause: only an instance that had entered the epoch from the store itself remembered which of its records the copy has as an older state. Above 32 instances most follow relays, so an instance that started from the copy used a server that drains or has left until its record was written again. Evidence: TestStartInRestoredZones with 60 instances (4 of 12 late ones) and TestRestoredFeedOfRelay fail without the change. Change: records carry the mark in the feed and keep it at each hop.

--- a/internal/platform/watcher/feed.go
+++ b/internal/platform/watcher/feed.go
@@ -112,7 +112,7 @@
 	var records []Record
 	records, lastSequence, message.Full = w.table.ChangesSince(Position{s.GetEpoch(), s.GetAfter()}, sequence)
 	for _, r := range records {
-		message.Records = append(message.Records, &messenger.Record{Key: r.Key, Value: r.Value, Revision: r.Revision, Deleted: r.Deleted})
+		message.Records = append(message.Records, &messenger.Record{Key: r.Key, Value: r.Value, Revision: r.Revision, Deleted: r.Deleted, Outlives: r.OutlivesCopy})
 	}
 	return message, lastSequence, w.changed
 }
--- a/internal/platform/watcher/follower.go
+++ b/internal/platform/watcher/follower.go
@@ -132,7 +132,9 @@
 	}
 	batch := Batch{Epoch: source.Epoch, Revision: source.Revision, Records: make([]Record, 0, len(message.GetRecords()))}
 	for _, r := range message.GetRecords() {
-		batch.Records = append(batch.Records, Record{Key: r.GetKey(), Value: r.GetValue(), Revision: r.GetRevision(), Deleted: r.GetDeleted()})
+		batch.Records = append(batch.Records, Record{
+			Key: r.GetKey(), Value: r.GetValue(), Revision: r.GetRevision(), Deleted: r.GetDeleted(), OutlivesCopy: r.GetOutlives(),
+		})
 	}
 	w.updateTable(c, func(now time.Time) []Record {
 		switch {
--- a/internal/platform/watcher/record.go
+++ b/internal/platform/watcher/record.go
@@ -19,6 +19,9 @@
 	Value    []byte
 	Revision uint64 // Revision of its last change.
 	Deleted  bool   // Set when the last change deleted the record.
+	// OutlivesCopy is set when the store was restored from a copy that has an older state
+	// of the record at the same revision.
+	OutlivesCopy bool
 }
 
 // Batch is a set of records and the revision up to which the set is complete.
--- a/internal/platform/watcher/restore.go
+++ b/internal/platform/watcher/restore.go
@@ -30,7 +30,7 @@
 		if t.mergeCopied(r, e) {
 			changed = append(changed, r)
 		} else if _, ok := held[r.Key]; ok && !e.missingInCopy || r.Deleted && e != nil && !e.Deleted {
-			t.heldDeletions[r.Key] = Record{Key: r.Key, Revision: r.Revision, Deleted: true}
+			t.heldDeletions[r.Key] = Record{Key: r.Key, Revision: r.Revision, Deleted: true, OutlivesCopy: true}
 		}
 	}
 	for key, e := range known {
@@ -50,11 +50,11 @@
 func (t *Table) mergeCopied(r Record, e *tableEntry) (changed bool) {
 	switch {
 	case e == nil:
-		t.storeRecord(r).outlivesCopy = r.Deleted
+		t.storeRecord(r)
 		return !r.Deleted
 	case r.Deleted, t.compareStates(r, e) < 0, e.Deleted && t.compareStates(r, e) == 0:
-		kept := t.storeRecord(Record{Key: r.Key, Value: e.Value, Revision: r.Revision, Deleted: e.Deleted})
-		kept.lastValue, kept.outlivesCopy = e.lastValue, !r.Deleted || e.Deleted
+		kept := Record{Key: r.Key, Value: e.Value, Revision: r.Revision, Deleted: e.Deleted, OutlivesCopy: !r.Deleted || e.Deleted}
+		t.storeRecord(kept).lastValue = e.lastValue
 		return false
 	}
 	t.storeRecord(r)
--- a/internal/platform/watcher/table.go
+++ b/internal/platform/watcher/table.go
@@ -31,9 +31,6 @@
 	Record
 	sequence  uint64
 	lastValue []byte // Value of the record or, after its writer or the store deleted it, its value before.
-	// The store was restored from a copy that has an older state of this record, at the
-	// same revision.
-	outlivesCopy bool
 	// The store was restored from a copy without this record, which nobody has written
 	// again yet.
 	missingInCopy bool
@@ -166,7 +163,7 @@
 	} else {
 		full = sequence > 0 || after.Epoch != t.position.Epoch || after.Revision == 0 || after.Revision < t.prunedRevision
 		for _, e := range t.records {
-			if e.outlivesCopy || !e.missingInCopy && (full && !e.Deleted || !full && e.Revision > after.Revision) {
+			if e.OutlivesCopy || !e.missingInCopy && (full && !e.Deleted || !full && e.Revision > after.Revision) {
 				records = append(records, e.Record)
 			}
 		}
@@ -205,8 +202,8 @@
 		return false
 	}
 	delete(t.heldDeletions, r.Key)
-	e := t.storeRecord(r)
-	e.outlivesCopy = previous != nil && previous.Revision == r.Revision
+	r.OutlivesCopy = r.OutlivesCopy || previous != nil && previous.Revision == r.Revision
+	t.storeRecord(r)
 	return previous != nil || !r.Deleted
 }
 
