Do not stay at the revision of a stale first read

Cause: an instance starts with a stale read. If that has the records of before a restore and says the epoch of after it, the instance stood at a revision that the store had not given out yet, and ignored all changes up to it: the fault of the restored store by another door. Evidence: TestFirstReadOfLostHistory, TestStartFromLostHistory and TestFollowFromLostHistory fail without the change. Change: stale records are provisional. A confirmed read of all records at a lower revision starts anew from it, and a follower that is ahead of its source asks it for all records. What remains: if the store has passed the revision of the stale read, nothing shows it. Result: these tests pass.

--- a/internal/platform/watcher/follower.go
+++ b/internal/platform/watcher/follower.go
@@ -89,31 +89,37 @@
 	}
 }
 
-// subscribe asks for the records after the known revision, or for the revision alone
-// when the other reader delivers the records.
+// subscribe tells the source what the feed is to carry.
 func (r *sourceReader) subscribe(conn net.Conn) error {
-	position, standby := r.subscription()
-	r.standby = standby
+	position, mode := r.subscription()
+	r.mode = mode
 	_ = conn.SetWriteDeadline(time.Now().Add(feedTimeout))
-	return messenger.WriteMessage(conn, &messenger.Subscribe{Epoch: position.Epoch, After: position.Revision, Standby: standby})
+	return messenger.WriteMessage(conn, &messenger.Subscribe{Epoch: position.Epoch, After: position.Revision, Standby: mode == noRecords})
 }
 
-// subscription returns the known position and whether the feed of this reader is the
-// standby one: that of the second reader, unless its source was ahead. Each feed begins
-// with records, because its source may know some that a restored store lacks.
-func (r *sourceReader) subscription() (p Position, standby bool) {
+// subscription returns the position after which the feed is to carry the records, and what
+// it is to carry. The feed of the second reader is the standby one unless its source is
+// ahead. Each feed begins with records, because its source may know some that a restored
+// store lacks.
+func (r *sourceReader) subscription() (after Position, mode feedMode) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	p, loaded := r.table.Position()
-	return p, r.index > 0 && loaded && r.synced && r.sourcePosition.Compare(p) <= 0
+	switch {
+	case r.synced && r.table.IsAhead(r.sourcePosition):
+		return Position{}, allRecords
+	case r.index > 0 && loaded && r.synced && r.sourcePosition.Compare(p) <= 0:
+		return p, noRecords
+	}
+	return p, changedRecords
 }
 
-// updateSubscription subscribes again when a message shows that the feed has to carry the
-// records, because its source is ahead of the own records, or no longer has to.
+// updateSubscription subscribes again when a message shows that the feed has to carry
+// something else.
 func (r *sourceReader) updateSubscription(conn net.Conn, message *messenger.Feed) error {
 	r.synced = r.synced || message.GetAt() > 0 && !message.GetStandby()
 	r.sourcePosition = Position{message.GetEpoch(), message.GetAt()}
-	if _, standby := r.subscription(); standby == r.standby {
+	if _, mode := r.subscription(); mode == r.mode {
 		return nil
 	}
 	return r.subscribe(conn)
--- a/internal/platform/watcher/record.go
+++ b/internal/platform/watcher/record.go
@@ -29,6 +29,7 @@
 	Records  []Record
 	Revision uint64
 	Epoch    uint64 // Epoch of the store that the revision belongs to.
+	Stale    bool   // The records may be older than the revision says.
 }
 
 // Position is a point in the changes of the store. The epoch rises each time that the
--- a/internal/platform/watcher/source_reader.go
+++ b/internal/platform/watcher/source_reader.go
@@ -19,11 +19,20 @@
 	*Watcher
 	index          int      // 0 or 1, the index in Watcher.sources.
 	synced         bool     // The feed has carried records.
-	standby        bool     // The feed carries no records.
-	sourcePosition Position // Position that the last message of the feed named.
+	mode           feedMode // What the feed carries.
+	sourcePosition Position // Position that the last message of the feed named; zero before.
 	watching       bool     // The last source was the store.
 }
 
+// feedMode is what a follower subscribes to.
+type feedMode uint8
+
+const (
+	changedRecords feedMode = iota // The records after the known position.
+	allRecords                     // All records, because the known ones are not those of the store.
+	noRecords                      // The position alone, because the other reader delivers the records.
+)
+
 // run reads until ctx is done.
 func (r *sourceReader) run(ctx context.Context, done *sync.WaitGroup) {
 	defer done.Done()
--- a/internal/platform/watcher/table.go
+++ b/internal/platform/watcher/table.go
@@ -22,6 +22,7 @@
 	epochSequence  uint64            // Number of the first change in the epoch of position.
 	prunedRevision uint64            // Tombstones up to this revision may be missing.
 	loaded         bool              // Set after the first load of all records.
+	provisional    bool              // All that was loaded is stale.
 	confirmedAt    time.Time         // Time at which the records were last known to equal those of the store.
 	holdUntil      time.Time         // Time until which deletions are held after an outage.
 }
@@ -54,6 +55,12 @@
 // before the first load.
 func (t *Table) Position() (p Position, ok bool) { return t.position, t.loaded }
 
+// IsAhead reports whether the table, which has only stale records, is ahead of p in the
+// epoch of p. Its records are then not those of the store at p.
+func (t *Table) IsAhead(p Position) bool {
+	return t.provisional && t.position.Epoch == p.Epoch && t.position.Revision > p.Revision
+}
+
 // ConfirmedAt returns the time at which the records were last known to equal those
 // of the store.
 func (t *Table) ConfirmedAt() time.Time { return t.confirmedAt }
@@ -105,12 +112,14 @@
 	t.init()
 	switch {
 	case !t.loaded:
-		t.position.Epoch = b.Epoch
+		t.position.Epoch, t.provisional = b.Epoch, b.Stale
 	case b.Epoch < t.position.Epoch:
 		return nil
-	case b.Epoch > t.position.Epoch:
+	case b.Epoch > t.position.Epoch, t.provisional && !b.Stale && b.Revision < t.position.Revision:
+		// Stale records ahead of those of the store are from before a restore.
 		return t.startEpoch(now, b)
 	}
+	t.provisional = t.provisional && b.Stale
 	listed := make(map[string]bool, len(b.Records))
 	for _, r := range b.Records {
 		listed[r.Key] = true
