Treat a record that stayed missing as gone through a second restore too

TestRestoreModel/0/2 showed it (-rapid.seed=: "got c1 in use, which left before"). Change: such deletions keep the value.

--- a/internal/platform/watcher/table.go
+++ b/internal/platform/watcher/table.go
@@ -31,7 +31,7 @@
 type tableEntry struct {
 	Record
 	sequence  uint64
-	lastValue []byte // Value of the record or, after its writer or the store deleted it, its value before.
+	lastValue []byte // Value of the record or, after a deletion, its value before.
 	// The store was restored from a copy without this record, which nobody has written
 	// again yet.
 	missingInCopy bool
@@ -241,7 +241,7 @@
 func (t *Table) storeRecord(r Record) *tableEntry {
 	t.sequence++
 	e := &tableEntry{Record: r, sequence: t.sequence, lastValue: r.Value}
-	if previous := t.records[r.Key]; r.Deleted && previous != nil && !previous.missingInCopy {
+	if previous := t.records[r.Key]; r.Deleted && previous != nil {
 		e.lastValue = previous.lastValue
 	}
 	t.records[r.Key] = e
