--- a/internal/platform/watcher/restore_fleet_test.go
+++ b/internal/platform/watcher/restore_fleet_test.go
@@ -15,6 +15,10 @@
 // drillTrial is one case of TestDrills.
 type drillTrial struct {
 	*zonedFleet
+	restores int
+	gap      time.Duration // Time from a restore to the next outage.
+	cut      refusal       // How a fourth of the instances is cut off after the restores.
+
 	t       *testing.T
 	random  *rand.Rand
 	counter int
@@ -46,20 +50,25 @@
 			if !d.calm[x.Name] {
 				continue
 			}
-			names := make(map[string]bool)
-			for _, e := range x.List().Entries {
-				names["s/"+e.Name] = true
-			}
-			for key := range d.left {
-				if names[key] {
-					d.fail("got %s (length) listed at %s, which left", key, x.Name)
-				}
-			}
-			for key := range d.known {
-				if !names[key] && d.alive[key] {
-					d.fail("got no %s (length) at %s, which lives", key, x.Name)
-				}
-			}
+			d.checkList(x)
+		}
+	}
+}
+
+// checkList checks that x lists the known servers and none that left.
+func (d *drillTrial) checkList(x *zonedInstance) {
+	names := make(map[string]bool)
+	for _, e := range x.List().Entries {
+		names["s/"+e.Name] = true
+	}
+	for key := range d.left {
+		if names[key] {
+			d.fail("got %s (length) listed at %s, which left", key, x.Name)
+		}
+	}
+	for key := range d.known {
+		if !names[key] {
+			d.fail("got no %s (length) at %s, which lives", key, x.Name)
 		}
 	}
 }
@@ -90,7 +99,8 @@
 	}
 }
 
-func (d *drillTrial) run(n, restores int, gap time.Duration, cut refusal) {
+func (d *drillTrial) run(t *testing.T) {
+	d.t = t
 	time.Sleep(5 * time.Second)
 	for i := 1; i <= 12; i++ {
 		d.alive[serverKey(i)] = true
@@ -98,41 +108,13 @@
 	}
 	time.Sleep(2 * time.Second)
 	records, revision := d.store.copyRecords()
-	for i := range 6 { // Some leave, some join in the window that is lost.
-		left, joined := serverKey(2*i+1+d.random.IntN(2)), serverKey(13+i)
-		d.alive[left], d.alive[joined] = false, true
-		d.write(left, true)
-		d.write(joined, false)
-	}
-	time.Sleep(3 * time.Second)
-	for i := 1; i <= 18; i++ {
-		d.left[serverKey(i)], d.known[serverKey(i)] = !d.alive[serverKey(i)], d.alive[serverKey(i)]
-	}
-	for key, is := range d.left {
-		if !is {
-			delete(d.left, key)
-		} else {
-			delete(d.known, key)
-		}
-	}
+	d.changeServers()
 	for i, x := range d.nodes {
 		d.calm[x.Name] = i%4 != 0
 	}
-	cutOff := func(i int) bool { return i%4 == 0 }
 	d.from = time.Now()
-	for range restores {
-		d.storeFault(refused, func(int) bool { return true })
-		d.watchLists(time.Duration(d.random.IntN(2000)) * time.Millisecond)
-		d.store.restore(records, revision)
-		d.storeFault(served, func(int) bool { return true })
-		d.storeFault(cut, cutOff)
-		for i, x := range d.nodes {
-			x.silent.Store(cutOff(i) && cut == forgotten)
-		}
-		if d.random.IntN(2) == 0 {
-			d.write("config", false)
-		}
-		d.watchLists(gap)
+	for range d.restores {
+		d.restoreStore(records, revision)
 	}
 	if d.random.IntN(2) == 0 {
 		d.store.mu.Lock()
@@ -141,24 +123,64 @@
 	}
 	d.settle()
 	d.watchLists(3 * time.Second)
-	d.storeFault(served, func(int) bool { return true })
-	for _, x := range d.nodes {
-		x.silent.Store(false)
-	}
+	d.cutOff(served)
 	time.Sleep(20 * time.Second)
 	d.write("config", false)
 	time.Sleep(3 * time.Second)
-	var want []string
-	for key, is := range d.alive {
-		if is {
+	d.checkEnd()
+}
+
+// changeServers lets some servers leave and some join, in the time that is lost.
+func (d *drillTrial) changeServers() {
+	for i := range 6 {
+		left, joined := serverKey(2*i+1+d.random.IntN(2)), serverKey(13+i)
+		d.alive[left], d.alive[joined] = false, true
+		d.write(left, true)
+		d.write(joined, false)
+	}
+	time.Sleep(3 * time.Second)
+	for i := 1; i <= 18; i++ {
+		if key := serverKey(i); d.alive[key] {
+			d.known[key] = true
+		} else {
+			d.left[key] = true
+		}
+	}
+}
+
+// restoreStore takes the store away and brings it back as it was.
+func (d *drillTrial) restoreStore(records map[string]watcher.Record, revision uint64) {
+	d.storeFault(refused, func(int) bool { return true })
+	d.watchLists(time.Duration(d.random.IntN(2000)) * time.Millisecond)
+	d.store.restore(records, revision)
+	d.cutOff(d.cut)
+	if d.random.IntN(2) == 0 {
+		d.write("config", false)
+	}
+	d.watchLists(d.gap)
+}
+
+// cutOff lets the store serve all instances but a fourth, which it treats as r says.
+// Forgotten ones are cut off from the others too.
+func (d *drillTrial) cutOff(r refusal) {
+	d.storeFault(served, func(int) bool { return true })
+	d.storeFault(r, func(i int) bool { return i%4 == 0 })
+	for i, x := range d.nodes {
+		x.silent.Store(i%4 == 0 && r == forgotten)
+	}
+}
+
+// checkEnd checks that all instances list the servers that live.
+func (d *drillTrial) checkEnd() {
+	want := []string{"one"}
+	for key, alive := range d.alive {
+		if alive {
 			want = append(want, strings.TrimPrefix(key, "s/"))
 		}
 	}
-	want = append(want, "one")
 	slices.Sort(want)
 	for _, x := range d.nodes {
-		got := serverNames(x.Watcher)
-		if got != fmt.Sprint(want) {
+		if got := serverNames(x.Watcher); got != fmt.Sprint(want) {
 			d.t.Errorf("got %v at %s (calm: %v) in the end, want %v", lengths(got), x.Name, d.calm[x.Name], lengths(fmt.Sprint(want)))
 			break
 		}
@@ -175,24 +197,18 @@
 // TestDrills guards against servers that left and are listed again, and against those that
 // live and are not, while the store comes back from a copy and some instances are cut off.
 func TestDrills(t *testing.T) {
-	for _, n := range []int{16, 60} {
-		for _, restores := range []int{1, 2} {
-			for _, gap := range []time.Duration{300 * time.Millisecond, 1500 * time.Millisecond} {
-				for _, cut := range []refusal{served, refused, forgotten} {
-					for seed := range uint64(2) {
-						t.Run(fmt.Sprintf("%d/%d/%v/%d/%d", n, restores, gap, cut, seed), func(t *testing.T) {
-							synctest.Test(t, func(t *testing.T) {
-								d := &drillTrial{
-									zonedFleet: newZonedFleet(n), t: t, random: rand.New(rand.NewPCG(seed, 1)), errors: make(map[string]bool),
-									alive: make(map[string]bool), calm: make(map[string]bool), left: make(map[string]bool), known: make(map[string]bool),
-								}
-								defer func() { d.stop(); d.running.Wait() }()
-								d.run(n, restores, gap, cut)
-							})
-						})
-					}
+	for c := range 48 {
+		n, restores, gap := []int{16, 60}[c%2], 1+c/2%2, []time.Duration{300 * time.Millisecond, 1500 * time.Millisecond}[c/4%2]
+		cut, seed := refusal(c/8%3), uint64(c/24)
+		t.Run(fmt.Sprintf("%d/%d/%v/%d/%d", n, restores, gap, cut, seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				d := &drillTrial{
+					zonedFleet: newZonedFleet(n), restores: restores, gap: gap, cut: cut, random: rand.New(rand.NewPCG(seed, 1)), errors: make(map[string]bool),
+					alive: make(map[string]bool), calm: make(map[string]bool), left: make(map[string]bool), known: make(map[string]bool),
 				}
-			}
-		}
+				defer func() { d.stop(); d.running.Wait() }()
+				d.run(t)
+			})
+		})
 	}
 }
--- a/internal/platform/watcher/restore_model_test.go
+++ b/internal/platform/watcher/restore_model_test.go
@@ -115,52 +115,74 @@
 		m := &storeModel{changes: [][]watcher.Record{nil}, state: make(map[string]byte), alive: make(map[string]bool), step: counterStep}
 		m.state["z"], m.alive["z"] = 1, true
 		m.write("z", false) // Revisions of a store begin above 0.
-		table, now := &watcher.Table{Compare: fakeDecoder{}.CompareStates}, startTime
-		gone, seen := make(map[string]bool), make(map[string]byte) // Left for good, as the table knew; the last state that it knew.
-		keys := []string{"a", "b", "c"}
+		k := &knownRecords{table: &watcher.Table{Compare: fakeDecoder{}.CompareStates}, gone: make(map[string]bool), seen: make(map[string]byte)}
+		now := startTime
 		for range rapid.IntRange(1, 40).Draw(t, "steps") {
 			now = now.Add(time.Duration(rapid.IntRange(1, 30).Draw(t, "ds")) * 100 * time.Millisecond)
-			key := rapid.SampledFrom(keys).Draw(t, "key")
+			key := rapid.SampledFrom(modelKeys).Draw(t, "key")
 			switch step := rapid.SampledFrom([]string{"write", "write", "leave", "restore", "read", "read", "readAll", "settle"}).Draw(t, "step"); step {
 			case "write":
 				m.state[key]++
 				m.alive[key] = true
 				m.write(key, false)
-				delete(gone, key)
+				delete(k.gone, key)
 			case "leave":
-				if m.alive[key] {
-					m.alive[key] = false
-					m.write(key, true)
-				}
+				m.leave(key)
 			case "settle":
 				m.settle()
 			case "restore":
-				if len(m.changes) > restores {
-					continue
+				if len(m.changes) <= restores {
+					m.changes = append(m.changes, slices.Clone(m.current()[:rapid.IntRange(1, len(m.current())).Draw(t, "cut")]))
 				}
-				m.changes = append(m.changes, slices.Clone(m.current()[:rapid.IntRange(1, len(m.current())).Draw(t, "cut")]))
 			default:
-				m.read(now, table, step == "readAll")
-				for _, r := range table.LiveRecords() {
-					seen[r.Key] = r.Value[0]
-					if gone[r.Key] {
-						t.Fatalf("got %s%d in use, which left before, want it unused", r.Key, r.Value[0])
-					}
-				}
-				for _, k := range keys {
-					if m.state[k] > 0 && seen[k] == m.state[k] && !m.alive[k] && !slices.ContainsFunc(table.LiveRecords(), func(r watcher.Record) bool { return r.Key == k }) &&
-						slices.ContainsFunc(m.current(), func(r watcher.Record) bool { return r.Key == k && r.Deleted }) {
-						gone[k] = true
-					}
-				}
+				m.read(now, k.table, step == "readAll")
+				k.check(t, m)
 			}
 		}
 		want := m.settle()
 		for i := range 10 {
-			m.read(now.Add(time.Duration(i)*time.Second), table, false)
+			m.read(now.Add(time.Duration(i)*time.Second), k.table, false)
 		}
-		if got := liveStates(table); got != want {
+		if got := liveStates(k.table); got != want {
 			t.Fatalf("got %q, want %q", got, want)
 		}
 	})
 }
+
+var modelKeys = []string{"a", "b", "c"}
+
+// leave deletes the record with key for good, if there is one.
+func (m *storeModel) leave(key string) {
+	if m.alive[key] {
+		m.alive[key] = false
+		m.write(key, true)
+	}
+}
+
+// hasLeft reports whether the store says that the writer of key has left.
+func (m *storeModel) hasLeft(key string) bool {
+	return m.state[key] > 0 && !m.alive[key] && slices.ContainsFunc(m.current(), func(r watcher.Record) bool { return r.Key == key && r.Deleted })
+}
+
+// knownRecords is a table and what it knew at some time.
+type knownRecords struct {
+	table *watcher.Table
+	gone  map[string]bool // Left for good, as the table knew.
+	seen  map[string]byte // The last state that the table had.
+}
+
+// check checks that none that the table knew to have left is in use.
+func (k *knownRecords) check(t *rapid.T, m *storeModel) {
+	live := make(map[string]bool)
+	for _, r := range k.table.LiveRecords() {
+		live[r.Key], k.seen[r.Key] = true, r.Value[0]
+		if k.gone[r.Key] {
+			t.Fatalf("got %s%d in use, which left before, want it unused", r.Key, r.Value[0])
+		}
+	}
+	for _, key := range modelKeys {
+		if !live[key] && k.seen[key] == m.state[key] && m.hasLeft(key) {
+			k.gone[key] = true
+		}
+	}
+}
