Trust a stale first read once a source has its changes

TestStaleReadBecomesCurrent fails without the change. Change: the mark goes when a source delivers changes up to the known revision or later.

--- a/internal/platform/watcher/stale_read_test.go
+++ b/internal/platform/watcher/stale_read_test.go
@@ -79,3 +79,19 @@
 		return !slices.ContainsFunc(recorders, func(r *bundleRecorder) bool { return r.lastRevision() != 3 })
 	})
 }
+
+// TestStaleReadBecomesCurrent guards against an instance that, long after its stale first
+// read, takes a source that lags a little for a store that was restored.
+func TestStaleReadBecomesCurrent(t *testing.T) {
+	table := &watcher.Table{Compare: fakeDecoder{}.CompareStates}
+	table.LoadAll(startTime, watcher.Batch{Revision: 5, Stale: true, Records: []watcher.Record{newState("a", 5, 1)}})
+	table.ApplyChanges(startTime, watcher.Batch{Revision: 6, Records: []watcher.Record{newState("b", 6, 1)}})
+	if table.IsAhead(watcher.Position{Revision: 5}) {
+		t.Error("got a table that is ahead of its source, want one that a source confirmed")
+	}
+	table.LoadAll(startTime, watcher.Batch{Revision: 5, Records: []watcher.Record{newState("a", 5, 1)}})
+	table.ApplyChanges(startTime, watcher.Batch{Revision: 7, Records: []watcher.Record{newDeletion("a", 7)}})
+	if got, want := liveStates(table), "b1 "; got != want {
+		t.Errorf("got %q, want %q: no deletion is held", got, want)
+	}
+}
--- a/internal/platform/watcher/table.go
+++ b/internal/platform/watcher/table.go
@@ -22,7 +22,7 @@
 	epochSequence  uint64            // Number of the first change in the epoch of position.
 	prunedRevision uint64            // Tombstones up to this revision may be missing.
 	loaded         bool              // Set after the first load of all records.
-	provisional    bool              // All that was loaded is stale.
+	provisional    bool              // All that is known is a stale read.
 	confirmedAt    time.Time         // Time at which the records were last known to equal those of the store.
 	holdUntil      time.Time         // Time until which deletions are held after an outage.
 }
@@ -100,7 +100,10 @@
 			changed = append(changed, r)
 		}
 	}
-	t.position.Revision = max(t.position.Revision, b.Revision)
+	if b.Revision >= t.position.Revision {
+		t.position.Revision = b.Revision
+		t.provisional = false // The source has the changes up to this revision.
+	}
 	t.pruneTombstones()
 	return changed
 }
@@ -112,14 +115,13 @@
 	t.init()
 	switch {
 	case !t.loaded:
-		t.position.Epoch, t.provisional = b.Epoch, b.Stale
+		t.position.Epoch = b.Epoch
 	case b.Epoch < t.position.Epoch:
 		return nil
 	case b.Epoch > t.position.Epoch, t.provisional && !b.Stale && b.Revision < t.position.Revision:
 		// Stale records ahead of those of the store are from before a restore.
 		return t.startEpoch(now, b)
 	}
-	t.provisional = t.provisional && b.Stale
 	listed := make(map[string]bool, len(b.Records))
 	for _, r := range b.Records {
 		listed[r.Key] = true
@@ -130,6 +132,7 @@
 		}
 	}
 	changed := t.ApplyChanges(now, b)
+	t.provisional = b.Stale && !t.loaded
 	t.loaded = true
 	return changed
 }
