--- a/review/lab/backend.go
+++ b/review/lab/backend.go
@@ -85,7 +85,7 @@
 	b.mu.Lock()
 	b.runs = append(b.runs, run{id, b.id, time.Now()})
 	b.mu.Unlock()
-	b.record.line("backend", "%s runs %s", b.id, id)
+	b.record.line("backend", "%s runs %s %s %s", b.id, id, r.Method, r.RequestURI)
 	_, _ = io.Copy(io.Discard, r.Body)
 	select {
 	case <-time.After(b.work):
--- a/review/lab/client.go
+++ b/review/lab/client.go
@@ -66,7 +66,11 @@
 	a := attempt{id: fmt.Sprintf("%016x", 0x1c41000000000000+c.last.Add(1)), instance: i.name, sentAt: time.Now()}
 	ctx, cancel := context.WithTimeout(context.Background(), q.limit)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, q.method, "http://"+i.front+q.path, strings.NewReader(q.body))
+	var body io.Reader
+	if q.body != "" {
+		body = strings.NewReader(q.body)
+	}
+	req, err := http.NewRequestWithContext(ctx, q.method, "http://"+i.front+q.path, body)
 	if err != nil {
 		cannotRun("request: %v", err)
 	}
