--- a/review/lab/main.go
+++ b/review/lab/main.go
@@ -32,6 +32,7 @@
 	"restart": playRestart,
 	"pages":   playPages,
 	"route":   playRoute,
+	"slow":    playSlow,
 }
 
 func main() {
--- a/review/lab/pages.go
+++ b/review/lab/pages.go
@@ -37,7 +37,7 @@
 	time.Sleep(time.Until(leftAt.Add(14 * time.Second)))
 	cancel()
 	s.clients.tasks.Wait()
-	late := s.countLate(map[*backend]time.Time{gone: leftAt})
+	late := s.countLate(map[*backend]time.Time{gone: leftAt}, time.Time{})
 	r.say("requests by status: %s", s.clients.counts())
 	r.say("requests of machines in touch that reached a backend later than 2 s after it was gone: %d", late)
 	return late > 0
--- a/review/lab/restart.go
+++ b/review/lab/restart.go
@@ -74,7 +74,7 @@
 	for _, b := range gone {
 		left[b] = leftAt
 	}
-	late := s.countLate(left)
+	late := s.countLate(left, time.Time{})
 	r.say("requests by status: %s", s.clients.counts())
 	r.say("requests of machines in touch that reached a backend later than 2 s after it was gone: %d", late)
 	return late > 0
@@ -82,13 +82,14 @@
 
 // countLate returns the number of requests that reached one of the backends in left later
 // than drainBound after it left, from processes that ran for stabilityWindow or longer when
-// the request was sent.
-func (s *site) countLate(left map[*backend]time.Time) (late int) {
+// the request was sent. Requests that were sent before stableAt, when the store was not
+// stable, do not count.
+func (s *site) countLate(left map[*backend]time.Time, stableAt time.Time) (late int) {
 	for b, at := range left {
 		for _, a := range b.arrivalsAfter(at.Add(drainBound)) {
 			sent, _ := s.clients.attempt(a.id)
 			for _, i := range s.fleet.instances {
-				if i.name != sent.instance || sent.sentAt.Sub(i.startedAt) <= stabilityWindow {
+				if i.name != sent.instance || sent.sentAt.Sub(i.startedAt) <= stabilityWindow || sent.sentAt.Before(stableAt) {
 					continue
 				}
 				if late++; late <= 5 {
--- a/review/lab/store.go
+++ b/review/lab/store.go
@@ -29,6 +29,8 @@
 type store struct {
 	// pageItems is the largest number of items in a page.
 	pageItems int
+	// delay is the time by which each answer is late, in nanoseconds.
+	delay atomic.Int64
 
 	mu       sync.Mutex
 	log      []change
@@ -151,7 +153,7 @@
 		items = append(items, encodeChange(c))
 	}
 	s.record.line("store", "range from %s after=%q stale=%s age=%v: %d items at revision %d", r.RemoteAddr, q.Get("after"), q.Get("StaleOk"), age, len(items), revision)
-	writeJSON(w, map[string]any{"items": items, "HasMore": more, "At": revision})
+	s.answer(w, map[string]any{"items": items, "HasMore": more, "At": revision})
 }
 
 func (s *store) serveWatch(w http.ResponseWriter, r *http.Request, q url.Values) {
@@ -169,7 +171,7 @@
 		}
 		s.mu.Unlock()
 		if len(events) > 0 || done {
-			writeJSON(w, map[string]any{"events": events, "At": at})
+			s.answer(w, map[string]any{"events": events, "At": at})
 			return
 		}
 		select {
@@ -182,7 +184,9 @@
 	}
 }
 
-func writeJSON(w http.ResponseWriter, v any) {
+// answer sends the answer to a read.
+func (s *store) answer(w http.ResponseWriter, v any) {
+	time.Sleep(time.Duration(s.delay.Load()))
 	w.Header().Set("Content-Type", "application/json")
 	if err := json.NewEncoder(w).Encode(v); err != nil {
 		fmt.Println("store:", err)
