--- a/review/lab/backend.go
+++ b/review/lab/backend.go
@@ -11,8 +11,8 @@
 
 // run is a request that a backend began to work on.
 type run struct {
-	id, backend string
-	at          time.Time
+	id, backend, path string
+	at                time.Time
 }
 
 // backend is a stand-in for a backend server. It follows PROTOCOL.md: it expects its own
@@ -73,7 +73,7 @@
 	}
 	now := time.Now()
 	b.mu.Lock()
-	b.arrivals = append(b.arrivals, run{id, b.id, now})
+	b.arrivals = append(b.arrivals, run{id, b.id, r.RequestURI, now})
 	b.mu.Unlock()
 	if !b.startWork() {
 		b.setLoad(w.Header())
@@ -83,7 +83,7 @@
 		return
 	}
 	b.mu.Lock()
-	b.runs = append(b.runs, run{id, b.id, time.Now()})
+	b.runs = append(b.runs, run{id, b.id, r.RequestURI, time.Now()})
 	b.mu.Unlock()
 	b.record.line("backend", "%s runs %s %s %s", b.id, id, r.Method, r.RequestURI)
 	_, _ = io.Copy(io.Discard, r.Body)
--- a/review/lab/fleet.go
+++ b/review/lab/fleet.go
@@ -135,6 +135,13 @@
 	_ = i.command.Process.Signal(s)
 }
 
+// signalAll sends a signal to the processes of instances.
+func (f *fleet) signalAll(instances []*instance, s syscall.Signal) {
+	for _, i := range instances {
+		f.signal(i, s)
+	}
+}
+
 // kill ends the process of i at once.
 func (f *fleet) kill(i *instance) {
 	f.signal(i, syscall.SIGKILL)
--- a/review/lab/main.go
+++ b/review/lab/main.go
@@ -32,6 +32,8 @@
 	"restart": playRestart,
 	"pages":   playPages,
 	"route":   playRoute,
+	"hold":    playHold,
+	"path":    playPath,
 	"slow":    playSlow,
 }
 
--- a/review/lab/restart.go
+++ b/review/lab/restart.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 )
 
@@ -83,13 +84,13 @@
 // countLate returns the number of requests that reached one of the backends in left later
 // than drainBound after it left, from processes that ran for stabilityWindow or longer when
 // the request was sent. Requests that were sent before stableAt, when the store was not
-// stable, do not count.
-func (s *site) countLate(left map[*backend]time.Time, stableAt time.Time) (late int) {
+// stable, and those of disturbed instances do not count.
+func (s *site) countLate(left map[*backend]time.Time, stableAt time.Time, disturbed ...*instance) (late int) {
 	for b, at := range left {
 		for _, a := range b.arrivalsAfter(at.Add(drainBound)) {
 			sent, _ := s.clients.attempt(a.id)
 			for _, i := range s.fleet.instances {
-				if i.name != sent.instance || sent.sentAt.Sub(i.startedAt) <= stabilityWindow || sent.sentAt.Before(stableAt) {
+				if i.name != sent.instance || slices.Contains(disturbed, i) || sent.sentAt.Sub(i.startedAt) <= stabilityWindow || sent.sentAt.Before(stableAt) {
 					continue
 				}
 				if late++; late <= 5 {
