--- a/review/lab/restart.go
+++ b/review/lab/restart.go
@@ -38,7 +38,7 @@
 // killed and start again. The first reads of
 // one zone come from a copy of the store that is 3 s behind.
 func playRestart(r *recorder) (broken bool) {
-	s := newSite(r, 9, 12, 2, 160*time.Millisecond, route{"/lepu270/", "safe", 1200 * time.Millisecond, 400 * time.Millisecond, "dele69a"})
+	s := newSite(r, 9, 15, 2, 160*time.Millisecond, route{"/lepu270/", "safe", 1200 * time.Millisecond, 400 * time.Millisecond, "dele69a"})
 	lagging := s.store.listenStale(staleLag)
 	s.fleet.storeAddress = func(i *instance) string {
 		if i.zone == staleZone {
@@ -50,9 +50,9 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	q := request{"GET", siteHost, "/lepu270/2f", "", 1200 * time.Millisecond}
 	for _, i := range s.fleet.instances {
-		period := 120 * time.Millisecond
+		period := 100 * time.Millisecond
 		if i.zone == staleZone {
-			period = 80 * time.Millisecond
+			period = 60 * time.Millisecond
 		}
 		s.clients.loop(ctx, i, q, period)
 	}
