--- a/review/lab/hold.go
+++ b/review/lab/hold.go
@@ -18,12 +18,12 @@
 // are killed and start again. Only requests by way of the other instances count, which
 // nothing happens to.
 func playHold(r *recorder) (broken bool) {
-	s := newSite(r, 18, 30, 2, 160*time.Millisecond, route{"/lepu270/", "safe", 1200 * time.Millisecond, 400 * time.Millisecond, "dele69a"})
+	s := newSite(r, 20, 30, 2, 160*time.Millisecond, route{"/lepu270/", "safe", 1200 * time.Millisecond, 400 * time.Millisecond, "dele69a"})
 	s.boot()
 	ctx, cancel := context.WithCancel(context.Background())
 	q := request{"GET", siteHost, "/lepu270/2f", "", 1200 * time.Millisecond}
 	for _, i := range s.fleet.instances {
-		s.clients.loop(ctx, i, q, 64*time.Millisecond)
+		s.clients.loop(ctx, i, q, 70*time.Millisecond)
 	}
 	time.Sleep(7 * time.Second)
 	var readers []*instance
