Add nothing that was deleted from a read that arrives late

Cause: a read of all records, or the changes of a source that is behind, was applied to a table at a later position. A record that was deleted before that table was loaded has no tombstone there, so it counted as new, and no source sends its deletion again. Evidence: "all records read from the store" with stale=true, at below known, changed=4. Change: a live record from up to the known position whose key the table lacks was deleted; a read of all records that is behind has only the changes after the position; a stale read is of use to an empty table alone. Why it works: the table has all records that exist at its position, so a missing key is an answer. TestChangeOrder is replaced, because it let a batch claim a position whose changes it had not delivered. The new one delivers the same random order, claims only what is complete and checks after each change, not only at the end.

--- a/internal/platform/watcher/table.go
+++ b/internal/platform/watcher/table.go
@@ -88,12 +88,24 @@
 }
 
 // ApplyChanges applies the changes in b and returns the records that changed. Changes
-// of another epoch are ignored.
+// of another epoch are ignored, and so are records that were deleted since.
 func (t *Table) ApplyChanges(now time.Time, b Batch) []Record {
 	t.init()
 	if b.Epoch != t.position.Epoch {
 		return nil
 	}
+	b.Records = slices.DeleteFunc(slices.Clone(b.Records), t.wasDeleted)
+	return t.applyBatch(now, b)
+}
+
+// wasDeleted reports whether r was deleted up to the known position. The table has all
+// records that exist there, also when it never had a tombstone for r.
+func (t *Table) wasDeleted(r Record) bool {
+	return !r.Deleted && r.Revision <= t.position.Revision && t.records[r.Key] == nil
+}
+
+// applyBatch applies all records of b and returns those that changed.
+func (t *Table) applyBatch(now time.Time, b Batch) []Record {
 	var changed []Record
 	for _, r := range b.Records {
 		if t.applyRecord(now, r) {
@@ -111,16 +123,21 @@
 // LoadAll applies b, which has all records that exist at its revision, and returns the
 // records that changed. Records that b lacks are deleted unless they changed after
 // that revision. A batch of an earlier epoch is ignored; one of a later epoch starts it.
+// A batch that is behind the table, because it was under way while another source
+// delivered changes, only has the changes after the known position. A stale one is of use
+// to an empty table alone.
 func (t *Table) LoadAll(now time.Time, b Batch) []Record {
 	t.init()
 	switch {
 	case !t.loaded:
 		t.position.Epoch = b.Epoch
-	case b.Epoch < t.position.Epoch:
+	case b.Stale, b.Epoch < t.position.Epoch:
 		return nil
 	case b.Epoch > t.position.Epoch, t.provisional && !b.Stale && b.Revision < t.position.Revision:
 		// Stale records ahead of those of the store are from before a restore.
 		return t.startEpoch(now, b)
+	case b.Revision < t.position.Revision:
+		return t.ApplyChanges(now, b)
 	}
 	listed := make(map[string]bool, len(b.Records))
 	for _, r := range b.Records {
@@ -131,8 +148,8 @@
 			b.Records = append(b.Records, Record{Key: key, Revision: max(b.Revision, e.Revision+1), Deleted: true})
 		}
 	}
-	changed := t.ApplyChanges(now, b)
-	t.provisional = b.Stale && !t.loaded
+	changed := t.applyBatch(now, b)
+	t.provisional = b.Stale
 	t.loaded = true
 	return changed
 }
--- a/internal/platform/watcher/table_test.go
+++ b/internal/platform/watcher/table_test.go
@@ -35,27 +35,35 @@
 }
 
 // TestChangeOrder guards against an older change that replaces a newer one: changes may
-// arrive in any order, and the one with the highest revision must remain.
+// arrive in any order, and after each one those with the highest revisions must remain.
 func TestChangeOrder(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		table, newest := new(watcher.Table), make(map[string]watcher.Record)
 		table.LoadAll(startTime, watcher.Batch{})
+		keys := rapid.SliceOfN(rapid.SampledFrom([]string{"a", "b", "c"}), 30, 30).Draw(t, "keys")
+		delivered := make(map[uint64]bool)
 		for range rapid.IntRange(1, 40).Draw(t, "changes") {
-			r := newRecord(rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "key"), rapid.Uint64Range(1, 30).Draw(t, "revision"))
-			r.Deleted = r.Revision%3 == 0 // Derived from the revision, because a revision is always the same change.
+			revision := rapid.Uint64Range(1, 30).Draw(t, "revision")
+			r := newRecord(keys[revision-1], revision)
+			r.Deleted = revision%3 == 0 // Derived from the revision, because a revision is always the same change.
 			if r.Revision > newest[r.Key].Revision {
 				newest[r.Key] = r
 			}
-			table.ApplyChanges(startTime, watcher.Batch{Records: []watcher.Record{r}, Revision: r.Revision})
-		}
-		want := ""
-		for _, k := range []string{"a", "b", "c"} {
-			if r := newest[k]; r.Revision > 0 && !r.Deleted {
-				want += k
+			delivered[revision] = true
+			complete := uint64(0)
+			for delivered[complete+1] {
+				complete++
+			}
+			table.ApplyChanges(startTime, watcher.Batch{Records: []watcher.Record{r}, Revision: complete})
+			want := ""
+			for _, k := range []string{"a", "b", "c"} {
+				if r := newest[k]; r.Revision > 0 && !r.Deleted {
+					want += k
+				}
+			}
+			if got := liveKeys(table); got != want {
+				t.Fatalf("got %q after revision %d, want %q", got, revision, want)
 			}
-		}
-		if got := liveKeys(table); got != want {
-			t.Fatalf("got %q, want %q", got, want)
 		}
 	})
 }
