Send all records to followers from before a read of all records

Cause: a source whose table began with a read of all records has no tombstones from before it, but answered a follower with an older read with the changes after that one's revision. The follower moved to the position of the source without the deletions. Change: a read of all records that moves the position begins a gap; followers from before it, by revision or by number of the change, get all records. Why it works: changes are sent only from positions after which the source knows every deletion.

--- a/internal/platform/watcher/age_test.go
+++ b/internal/platform/watcher/age_test.go
@@ -39,7 +39,8 @@
 	fleet   *zonedFleet
 	mu      sync.Mutex
 	refusal refusal
-	silent  atomic.Bool // All its streams lose what is sent.
+	silent  atomic.Bool    // All its streams lose what is sent.
+	earlier *watcher.Batch // What stale reads return; nil means the records as they are.
 }
 
 // refusal is how the store treats one instance.
@@ -53,22 +54,28 @@
 
 func newZonedFleet(n int) *zonedFleet {
 	f := &zonedFleet{store: newFakeStore(), members: zonedMembers(n)}
-	var ctx context.Context
-	ctx, f.stop = context.WithCancel(context.Background())
 	f.store.putRecord("s/one", false)
 	for i := range f.members {
 		f.members[i].PeerAddr = netip.AddrPortFrom(netip.IPv4Unspecified(), uint16(i+1))
-		x := &zonedInstance{fleet: f}
+		f.nodes = append(f.nodes, &zonedInstance{fleet: f})
+	}
+	f.start()
+	return f
+}
+
+// start starts all instances; none of them may run.
+func (f *zonedFleet) start() {
+	var ctx context.Context
+	ctx, f.stop = context.WithCancel(context.Background())
+	for i, x := range f.nodes {
 		x.Watcher = &watcher.Watcher{
 			Store: x, Decoder: fakeDecoder{}, Name: f.members[i].Name, Zone: f.members[i].Zone, Region: "r", Fleet: f, StreamOpener: x, BundleSink: new(bundleRecorder), Log: &discardLogger,
 		}
-		f.nodes = append(f.nodes, x)
 	}
 	for _, x := range f.nodes {
 		f.running.Add(1)
 		go (&runningWatcher{x.Watcher, &f.running}).run(ctx)
 	}
-	return f
 }
 
 func (f *zonedFleet) UsableMembers(_, _ string) []registrar.Member { return f.members }
@@ -78,6 +85,9 @@
 	if err := x.await(ctx); err != nil {
 		return watcher.Page{}, err
 	}
+	if stale && x.earlier != nil {
+		return watcher.Page{Batch: *x.earlier}, nil
+	}
 	return (&storeView{fakeStore: x.fleet.store}).ReadPage(ctx, after, stale)
 }
 
--- a/internal/platform/watcher/restore.go
+++ b/internal/platform/watcher/restore.go
@@ -17,8 +17,7 @@
 	known, held := t.records, t.heldDeletions
 	t.records, t.heldDeletions, t.changeLog = make(map[string]*tableEntry), make(map[string]Record), nil
 	t.position, t.prunedRevision, t.provisional = Position{b.Epoch, b.Revision}, 0, false
-	t.sequence++
-	t.epochSequence = t.sequence
+	t.startGap(b.Revision)
 	t.startHold(now)
 	var changed []Record
 	for _, r := range b.Records {
--- a/internal/platform/watcher/stale_start_test.go
+++ b/internal/platform/watcher/stale_start_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
+	"slices"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -31,6 +33,26 @@
 	return watcher.Page{Batch: s.earlier}, nil
 }
 
+// checkLists checks that the list of each instance is that of the store.
+func (f *zonedFleet) checkLists(t *testing.T) {
+	t.Helper()
+	f.store.mu.Lock()
+	var live []string
+	for key, r := range f.store.records {
+		if !r.Deleted {
+			live = append(live, strings.TrimPrefix(key, "s/"))
+		}
+	}
+	f.store.mu.Unlock()
+	slices.Sort(live)
+	want := fmt.Sprint(live)
+	for _, x := range f.nodes {
+		if got := serverNames(x.Watcher); got != want {
+			t.Errorf("got servers %s at %s with revision %d, want %s", got, x.Name, x.Revision(), want)
+		}
+	}
+}
+
 // leaveFleet lets a backend server join and leave, and returns the records as they were
 // before it left.
 func (f *zonedFleet) leaveFleet(t *testing.T) (earlier watcher.Batch) {
@@ -106,3 +128,68 @@
 		}
 	}
 }
+
+// TestFleetRestart guards against backend servers that left and are in use again after all
+// instances of a fleet were restarted, because their first reads are from different times:
+// those that are followed never knew of what left before their own first read.
+func TestFleetRestart(t *testing.T) {
+	for _, n := range startSizes {
+		for seed := range uint64(4) {
+			t.Run(fmt.Sprintf("%d/%d", n, seed), func(t *testing.T) { synctest.Test(t, (&fleetRestart{n, seed}).run) })
+		}
+	}
+}
+
+// fleetRestart is one case of TestFleetRestart.
+type fleetRestart struct {
+	n    int
+	seed uint64
+}
+
+func (c *fleetRestart) run(t *testing.T) {
+	f := newZonedFleet(c.n)
+	defer func() { f.stop(); f.running.Wait() }()
+	random := rand.New(rand.NewPCG(c.seed, 0))
+	time.Sleep(2 * time.Second)
+	var reads []*watcher.Batch // Of copies that are behind by one deletion more each, the last one by none.
+	for i := range 4 {
+		f.store.putRecord("s/left"+strings.Repeat("x", i), false)
+	}
+	for i := range 4 {
+		f.store.mu.Lock()
+		b := f.store.changesSince(0, true)
+		f.store.mu.Unlock()
+		reads = append(reads, &b)
+		f.store.putRecord("s/left"+strings.Repeat("x", i), true)
+	}
+	f.changeDelay(t, "s/other67890")
+	f.stop()
+	f.running.Wait()
+	for _, x := range f.nodes {
+		x.earlier = append(reads, nil)[random.IntN(len(reads)+1)]
+	}
+	f.start()
+	time.Sleep(4 * time.Second)
+	f.checkLists(t)
+}
+
+// TestChangesAfterLoad guards against a follower that keeps what was deleted before its
+// source read all records: the source never had a tombstone for it.
+func TestChangesAfterLoad(t *testing.T) {
+	source := newLoadedTable(newRecord("a", 1))
+	if _, _, full := source.ChangesSince(watcher.Position{Revision: 9}, 0); !full {
+		t.Error("got changes for a follower that is behind the first load, want all records")
+	}
+	_, sequence, _ := source.ChangesSince(watcher.Position{Revision: 10}, 0)
+	follower := newLoadedTable(newRecord("a", 1))
+	follower.ApplyChanges(startTime, watcher.Batch{Records: []watcher.Record{newRecord("left", 12)}, Revision: 12}) // By its other source.
+	source.LoadAll(startTime, watcher.Batch{Records: []watcher.Record{newRecord("a", 1)}, Revision: 20})
+	records, _, full := source.ChangesSince(watcher.Position{Revision: 10}, sequence)
+	if !full {
+		t.Error("got changes for a follower from before a load, want all records")
+	}
+	follower.LoadAll(startTime, watcher.Batch{Records: records, Revision: 20})
+	if got, want := liveKeys(follower), "a"; got != want {
+		t.Errorf("got %q, want %q", got, want)
+	}
+}
--- a/internal/platform/watcher/table.go
+++ b/internal/platform/watcher/table.go
@@ -19,7 +19,7 @@
 	heldDeletions  map[string]Record // Deletions that are applied after holdUntil unless a newer record arrives, by key.
 	position       Position          // Position up to which all changes are known.
 	sequence       uint64            // Number of the last change to this table. Revisions cannot tell what a follower lacks, because a held deletion is applied long after its revision.
-	epochSequence  uint64            // Number of the first change in the epoch of position.
+	gapSequence    uint64            // Changes up to this number do not tell a follower all that it lacks: they are of another epoch, or from before a read of all records.
 	prunedRevision uint64            // Tombstones up to this revision may be missing.
 	loaded         bool              // Set after the first load of all records.
 	provisional    bool              // All that is known is a stale read.
@@ -148,12 +148,23 @@
 			b.Records = append(b.Records, Record{Key: key, Revision: max(b.Revision, e.Revision+1), Deleted: true})
 		}
 	}
+	if !t.loaded || b.Revision > t.position.Revision {
+		t.startGap(b.Revision)
+	}
 	changed := t.applyBatch(now, b)
 	t.provisional = b.Stale
 	t.loaded = true
 	return changed
 }
 
+// startGap notes that tombstones up to a revision may be missing: a read of all records does
+// not show what was written and deleted since the position of the table.
+func (t *Table) startGap(revision uint64) {
+	t.prunedRevision = max(t.prunedRevision, revision)
+	t.sequence++
+	t.gapSequence = t.sequence
+}
+
 // ApplyHeldDeletions applies the held deletions once the hold time is over and
 // returns them.
 func (t *Table) ApplyHeldDeletions(now time.Time) []Record {
@@ -182,7 +193,7 @@
 // receiver may have read a restored store itself, so the result has the records that
 // outlive the copy. Those that are missing in it are left to each receiver.
 func (t *Table) ChangesSince(after Position, sequence uint64) (records []Record, lastSequence uint64, full bool) {
-	if sequence > 0 && sequence >= t.epochSequence {
+	if sequence > 0 && sequence >= t.gapSequence {
 		first, _ := slices.BinarySearchFunc(t.changeLog, sequence+1, func(e *tableEntry, n uint64) int { return cmp.Compare(e.sequence, n) })
 		for _, e := range t.changeLog[first:] {
 			if t.records[e.Key] == e {
