Tell followers no position past a deletion that is held

Cause: a table that holds deletions after an outage told its followers the position past them. Their next source had applied the deletions at lower revisions and did not send them. Change: AppliedPosition, up to which all changes are applied, is what followers are told. A held deletion keeps the position from before it arrived, is applied with its own revision, and only a later state drops it. A message with all records has the deletions after its position. Why it works: a position that is told covers nothing that was not sent.

--- a/internal/platform/watcher/feed.go
+++ b/internal/platform/watcher/feed.go
@@ -96,7 +96,7 @@
 func (w *Watcher) nextFeedMessage(s *messenger.Subscribe, sequence uint64) (message *messenger.Feed, lastSequence uint64, changed <-chan struct{}) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	position, loaded := w.table.Position()
+	_, loaded := w.table.Position()
 	if !loaded || w.table.ConfirmedAt().IsZero() {
 		// Records of a stale first read are not passed on.
 		return &messenger.Feed{Age: math.MaxInt64, Standby: true}, 0, w.changed
@@ -105,6 +105,7 @@
 	if w.storeFailing.Load() && w.confirmedBy == w.Name {
 		age = max(age, staleAge) // The next confirmation will not come from the store.
 	}
+	position := w.table.AppliedPosition()
 	message = &messenger.Feed{Epoch: position.Epoch, At: position.Revision, Age: int64(age), Standby: s.GetStandby(), Reader: w.confirmedBy}
 	if s.GetStandby() {
 		return message, 0, w.changed
--- a/internal/platform/watcher/restore.go
+++ b/internal/platform/watcher/restore.go
@@ -15,7 +15,7 @@
 //   - a record that the copy lacks, for HoldTime or until it is written again.
 func (t *Table) startEpoch(now time.Time, b Batch) []Record {
 	known, held := t.records, t.heldDeletions
-	t.records, t.heldDeletions, t.changeLog = make(map[string]*tableEntry), make(map[string]Record), nil
+	t.records, t.heldDeletions, t.changeLog = make(map[string]*tableEntry), make(map[string]heldDeletion), nil
 	t.position, t.prunedRevision, t.provisional = Position{b.Epoch, b.Revision}, 0, false
 	t.startGap(b.Revision)
 	t.startHold(now)
@@ -29,7 +29,11 @@
 		if t.mergeCopied(r, e) {
 			changed = append(changed, r)
 		} else if _, ok := held[r.Key]; ok && !e.missingInCopy || r.Deleted && e != nil && !e.Deleted {
-			t.heldDeletions[r.Key] = Record{Key: r.Key, Revision: r.Revision, Deleted: true, OutlivesCopy: true}
+			d := heldDeletion{Record{Key: r.Key, Revision: r.Revision, Deleted: true, OutlivesCopy: true}, unboundRevision}
+			if r.Revision > b.Revision {
+				d.appliedRevision = b.Revision
+			}
+			t.heldDeletions[r.Key] = d
 		}
 	}
 	for key, e := range known {
@@ -38,7 +42,7 @@
 			continue
 		}
 		t.storeRecord(Record{Key: key, Value: e.Value}).missingInCopy = true
-		t.heldDeletions[key] = Record{Key: key, Deleted: true}
+		t.heldDeletions[key] = heldDeletion{Record{Key: key, Deleted: true}, unboundRevision}
 	}
 	return changed
 }
--- a/internal/platform/watcher/table.go
+++ b/internal/platform/watcher/table.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"maps"
+	"math"
 	"slices"
 	"time"
 )
@@ -15,16 +16,16 @@
 	Compare  func(a, b Record) int // Decoder.CompareStates; nil means that all states are equal.
 
 	records        map[string]*tableEntry
-	changeLog      []*tableEntry     // Entries in the order of their sequence, including replaced ones.
-	heldDeletions  map[string]Record // Deletions that are applied after holdUntil unless a newer record arrives, by key.
-	position       Position          // Position up to which all changes are known.
-	sequence       uint64            // Number of the last change to this table. Revisions cannot tell what a follower lacks, because a held deletion is applied long after its revision.
-	gapSequence    uint64            // Changes up to this number do not tell a follower all that it lacks: they are of another epoch, or from before a read of all records.
-	prunedRevision uint64            // Tombstones up to this revision may be missing.
-	loaded         bool              // Set after the first load of all records.
-	provisional    bool              // All that is known is a stale read.
-	confirmedAt    time.Time         // Time at which the records were last known to equal those of the store.
-	holdUntil      time.Time         // Time until which deletions are held after an outage.
+	changeLog      []*tableEntry           // Entries in the order of their sequence, including replaced ones.
+	heldDeletions  map[string]heldDeletion // Deletions that are applied after holdUntil unless a newer record arrives, by key.
+	position       Position                // Position up to which all changes are known.
+	sequence       uint64                  // Number of the last change to this table. Revisions cannot tell what a follower lacks, because a held deletion is applied long after its revision.
+	gapSequence    uint64                  // Changes up to this number do not tell a follower all that it lacks: they are of another epoch, or from before a read of all records.
+	prunedRevision uint64                  // Tombstones up to this revision may be missing.
+	loaded         bool                    // Set after the first load of all records.
+	provisional    bool                    // All that is known is a stale read.
+	confirmedAt    time.Time               // Time at which the records were last known to equal those of the store.
+	holdUntil      time.Time               // Time until which deletions are held after an outage.
 }
 
 // tableEntry is a record with the number of its last change.
@@ -37,7 +38,18 @@
 	missingInCopy bool
 }
 
+// heldDeletion is a deletion that waits for the end of the hold time.
+type heldDeletion struct {
+	Record
+	// The revision up to which this table has all changes without the deletion. Its own
+	// revision does not tell, because other tables may know the deletion by a lower one.
+	appliedRevision uint64
+}
+
 const (
+	// unboundRevision is the appliedRevision of a deletion that the store does not have or
+	// that each first message of a feed repeats.
+	unboundRevision = math.MaxUint64
 	// defaultHoldTime is longer than the 2 s within which, as the platform states,
 	// running backend servers restore their expired records after an outage.
 	defaultHoldTime = 2200 * time.Millisecond
@@ -55,6 +67,16 @@
 // before the first load.
 func (t *Table) Position() (p Position, ok bool) { return t.position, t.loaded }
 
+// AppliedPosition returns the position that followers may be told: that up to which all
+// changes are applied. It is before Position while deletions are held.
+func (t *Table) AppliedPosition() Position {
+	p := t.position
+	for _, d := range t.heldDeletions {
+		p.Revision = min(p.Revision, d.appliedRevision)
+	}
+	return p
+}
+
 // IsAhead reports whether the table, which has only stale records, is ahead of p in the
 // epoch of p. Its records are then not those of the store at p.
 func (t *Table) IsAhead(p Position) bool {
@@ -172,14 +194,16 @@
 		return nil
 	}
 	var changed []Record
-	for key, r := range t.heldDeletions {
+	for key, d := range t.heldDeletions {
 		if t.records[key].missingInCopy && t.confirmedAt.Before(t.holdUntil) {
 			continue // The store is away again, so the writer could not write it.
 		}
 		delete(t.heldDeletions, key)
-		r.Revision = max(r.Revision, t.position.Revision)
-		t.storeRecord(r)
-		changed = append(changed, r)
+		if d.Revision == 0 {
+			d.Revision = t.position.Revision // The store never had the deletion.
+		}
+		t.storeRecord(d.Record)
+		changed = append(changed, d.Record)
 	}
 	return changed
 }
@@ -189,7 +213,8 @@
 
 // ChangesSince returns the records that changed after the position after or, when
 // sequence is above 0, after the change with that number. It also returns the number
-// of the last change. Full is set when the result has all records that exist. The
+// of the last change. Full is set when the result has all records that exist, and the
+// deletions that are later than the position which the receiver is told. The
 // receiver may have read a restored store itself, so the result has the records that
 // outlive the copy. Those that are missing in it are left to each receiver.
 func (t *Table) ChangesSince(after Position, sequence uint64) (records []Record, lastSequence uint64, full bool) {
@@ -202,8 +227,11 @@
 		}
 	} else {
 		full = sequence > 0 || after.Epoch != t.position.Epoch || after.Revision == 0 || after.Revision < t.prunedRevision
+		if full {
+			after = t.AppliedPosition()
+		}
 		for _, e := range t.records {
-			if e.OutlivesCopy || !e.missingInCopy && (full && !e.Deleted || !full && e.Revision > after.Revision) {
+			if e.OutlivesCopy || !e.missingInCopy && (full && !e.Deleted || e.Revision > after.Revision) {
 				records = append(records, e.Record)
 			}
 		}
@@ -225,7 +253,7 @@
 
 func (t *Table) init() {
 	if t.records == nil {
-		t.records, t.heldDeletions = make(map[string]*tableEntry), make(map[string]Record)
+		t.records, t.heldDeletions = make(map[string]*tableEntry), make(map[string]heldDeletion)
 		t.sequence = 1
 	}
 }
@@ -238,15 +266,33 @@
 		return false
 	}
 	if r.Deleted && now.Before(t.holdUntil) && previous != nil && !previous.Deleted {
-		t.heldDeletions[r.Key] = r
+		t.holdDeletion(r)
 		return false
 	}
-	delete(t.heldDeletions, r.Key)
+	if r.Revision >= t.heldDeletions[r.Key].Revision {
+		delete(t.heldDeletions, r.Key)
+	}
 	r.OutlivesCopy = r.OutlivesCopy || previous != nil && previous.Revision == r.Revision
 	t.storeRecord(r)
 	return previous != nil || !r.Deleted
 }
 
+// holdDeletion holds r until the hold time is over, or the later one of r and a held
+// deletion of the same record.
+func (t *Table) holdDeletion(r Record) {
+	d := heldDeletion{r, unboundRevision}
+	if r.Revision > 0 && !r.OutlivesCopy {
+		d.appliedRevision = min(t.position.Revision, r.Revision-1)
+	}
+	if held, ok := t.heldDeletions[r.Key]; ok {
+		d.appliedRevision = min(d.appliedRevision, held.appliedRevision)
+		if held.Revision > r.Revision {
+			d.Record = held.Record
+		}
+	}
+	t.heldDeletions[r.Key] = d
+}
+
 // isLater reports whether r is a later state than previous. At the same revision one of
 // them is from a restored copy of the store, and the other one is what an instance knew
 // before the restore.
