Move the position only over changes that begin at it

What callers saw: nothing known. The position of a table could pass changes that were never delivered, and a list then differs from that of the store for good (DRAIN, CONFIG). Cause: a batch of changes did not say after which revision it has them. When the records are replaced by those of an older answer, which is how a stale first read from before a restore is put right, changes that were under way moved the position over the gap. Change: Batch.After; ApplyChanges moves the position only if the changes begin at or before it; a feed that goes on past the position is opened again.

--- a/internal/platform/watcher/follower.go
+++ b/internal/platform/watcher/follower.go
@@ -73,7 +73,7 @@
 		if message.GetAt() == 0 && time.Since(start) > feedTimeout {
 			return errNoRecords
 		}
-		stale := message.GetAt() > 0 && w.applyFeedMessage(message)
+		stale := message.GetAt() > 0 && w.applyFeedMessage(message, r.deliveredUpTo)
 		r.recordMessage(message.GetAt() > 0 && !stale)
 		if err := r.updateSubscription(conn, message); err != nil {
 			return err
@@ -83,7 +83,7 @@
 		switch {
 		case stale && r.mayLeave(m.Name):
 			return errStale
-		case s == nil || s.Name != m.Name:
+		case s == nil || s.Name != m.Name, r.hasGap():
 			return nil
 		}
 	}
@@ -108,6 +108,9 @@
 func (r *sourceReader) subscribe(conn net.Conn) error {
 	position, mode := r.subscription()
 	r.mode = mode
+	if mode != allRecords {
+		r.deliveredUpTo = position.Revision
+	}
 	_ = conn.SetWriteDeadline(time.Now().Add(feedTimeout))
 	return messenger.WriteMessage(conn, &messenger.Subscribe{Epoch: position.Epoch, After: position.Revision, Standby: mode == noRecords})
 }
@@ -134,16 +137,27 @@
 func (r *sourceReader) updateSubscription(conn net.Conn, message *messenger.Feed) error {
 	r.synced = r.synced || message.GetAt() > 0 && !message.GetStandby()
 	r.sourcePosition = Position{message.GetEpoch(), message.GetAt()}
+	if !message.GetStandby() {
+		r.deliveredUpTo = message.GetAt()
+	}
 	if _, mode := r.subscription(); mode == r.mode {
 		return nil
 	}
 	return r.subscribe(conn)
 }
 
-// applyFeedMessage applies one message of a feed and reports whether its sender is of
+// hasGap reports whether the feed goes on after a revision that is not known yet, because the
+// records were replaced by older ones of the other source. The feed is then opened again.
+func (r *sourceReader) hasGap() bool {
+	p := r.Position()
+	return r.mode != noRecords && r.sourcePosition.Epoch == p.Epoch && r.deliveredUpTo > p.Revision
+}
+
+// applyFeedMessage applies one message of a feed, which has all changes after a revision,
+// and reports whether its sender is of
 // no use as a source: it has been without contact to the store for staleAge or longer,
 // what it knows came from this instance, or it has not noticed that the store was restored.
-func (w *Watcher) applyFeedMessage(message *messenger.Feed) (stale bool) {
+func (w *Watcher) applyFeedMessage(message *messenger.Feed, after uint64) (stale bool) {
 	age, known := time.Duration(message.GetAge()), w.Position()
 	source := Position{message.GetEpoch(), message.GetAt()}
 	stale = age >= staleAge || message.GetReader() == w.Name || source.Epoch < known.Epoch
@@ -151,7 +165,7 @@
 	if message.GetReader() == w.Name || message.GetStandby() && source.Compare(known) > 0 {
 		c.by = ""
 	}
-	batch := Batch{Epoch: source.Epoch, Revision: source.Revision, Records: make([]Record, 0, len(message.GetRecords()))}
+	batch := Batch{Epoch: source.Epoch, After: after, Revision: source.Revision, Records: make([]Record, 0, len(message.GetRecords()))}
 	for _, r := range message.GetRecords() {
 		batch.Records = append(batch.Records, Record{
 			Key: r.GetKey(), Value: r.GetValue(), Revision: r.GetRevision(), Deleted: r.GetDeleted(), OutlivesCopy: r.GetOutlives(),
--- a/internal/platform/watcher/record.go
+++ b/internal/platform/watcher/record.go
@@ -27,6 +27,7 @@
 // Batch is a set of records and the revision up to which the set is complete.
 type Batch struct {
 	Records  []Record
+	After    uint64 // Revision after which the set has all changes; 0 if it has all records.
 	Revision uint64
 	Epoch    uint64 // Epoch of the store that the revision belongs to.
 	Stale    bool   // The records may be older than the revision says.
--- a/internal/platform/watcher/source_reader.go
+++ b/internal/platform/watcher/source_reader.go
@@ -21,6 +21,7 @@
 	synced         bool     // The feed has carried records.
 	mode           feedMode // What the feed carries.
 	sourcePosition Position // Position that the last message of the feed named; zero before.
+	deliveredUpTo  uint64   // Revision up to which the feed has delivered all changes.
 	watching       bool     // The last source was the store.
 }
 
--- a/internal/platform/watcher/stale_start_test.go
+++ b/internal/platform/watcher/stale_start_test.go
@@ -178,6 +178,24 @@
 	f.checkLists(t)
 }
 
+// TestChangesWithGap guards against a position that moves past changes that were never
+// delivered: the records of an instance were replaced by older ones while the changes after
+// its former position were under way.
+func TestChangesWithGap(t *testing.T) {
+	table := &watcher.Table{Compare: fakeDecoder{}.CompareStates}
+	table.LoadAll(startTime, watcher.Batch{Revision: 20, Stale: true, Records: []watcher.Record{newState("a", 1, 1), newState("b", 15, 2)}})
+	table.LoadAll(startTime, watcher.Batch{Revision: 10, Records: []watcher.Record{newState("a", 1, 1), newState("left", 2, 1)}})
+	table.ApplyChanges(startTime, watcher.Batch{After: 20, Revision: 25, Records: []watcher.Record{newState("c", 25, 1)}})
+	if p, _ := table.Position(); p.Revision != 10 {
+		t.Errorf("got position %d without the changes from 11 to 20, want 10", p.Revision)
+	}
+	table.ApplyChanges(startTime, watcher.Batch{After: 10, Revision: 26, Records: []watcher.Record{newState("b", 15, 2), newDeletion("left", 18), newState("c", 25, 1)}})
+	table.ApplyHeldDeletions(startTime.Add(time.Minute))
+	if got, want := liveStates(table), "a1 b2 c1 "; got != want {
+		t.Errorf("got %q, want %q", got, want)
+	}
+}
+
 // TestChangesAfterLoad guards against a follower that keeps what was deleted before its
 // source read all records: the source never had a tombstone for it.
 func TestChangesAfterLoad(t *testing.T) {
--- a/internal/platform/watcher/store_calls.go
+++ b/internal/platform/watcher/store_calls.go
@@ -120,6 +120,7 @@
 	if w.handleCallResult(ctx, err, watchCall) {
 		return false
 	}
+	b.After = known.Revision
 	c := confirmation{time.Now(), w.Name, b.Epoch}
 	if detector.Elapsed(start, c.at) > 2*(timeout+watchResponseMargin) {
 		c.by = "" // The process stood still; the store may have answered long ago.
--- a/internal/platform/watcher/table.go
+++ b/internal/platform/watcher/table.go
@@ -110,7 +110,8 @@
 }
 
 // ApplyChanges applies the changes in b and returns the records that changed. Changes
-// of another epoch are ignored, and so are records that were deleted since.
+// of another epoch are ignored, and so are records that were deleted since. The position
+// moves only if the changes in b begin at or before it.
 func (t *Table) ApplyChanges(now time.Time, b Batch) []Record {
 	t.init()
 	if b.Epoch != t.position.Epoch {
@@ -134,7 +135,7 @@
 			changed = append(changed, r)
 		}
 	}
-	if b.Revision >= t.position.Revision {
+	if b.After <= t.position.Revision && b.Revision >= t.position.Revision {
 		t.position.Revision = b.Revision
 		t.provisional = false // The source has the changes up to this revision.
 	}
