Send all records when tombstones were removed before they were sent

What callers saw: nothing known; it takes more than 1,024 deletions at once. Cause: followers get changes by their number. Of more than 1,024 deletions that came in one batch the older half of the tombstones was removed at once, and a follower from before it was sent the rest as if that were all. Evidence: TestManyDeletions: 1,500 of 3,000 deleted records stayed at the follower. Change: removed tombstones begin a gap by number too, so that follower gets all records.

--- a/internal/platform/watcher/hold_test.go
+++ b/internal/platform/watcher/hold_test.go
@@ -123,6 +123,14 @@
 	return out
 }
 
+// setRunning lets the instances with the given indexes stand still or run again.
+func (f *zonedFleet) setRunning(indexes []int, running bool) {
+	for _, i := range indexes {
+		f.nodes[i].silent.Store(!running)
+		f.nodes[i].setRefusal(map[bool]refusal{true: served, false: forgotten}[running])
+	}
+}
+
 func (c *holdTrial) run(t *testing.T) {
 	f := newZonedFleet(c.n)
 	defer func() { f.stop(); f.running.Wait() }()
@@ -131,22 +139,58 @@
 	}
 	time.Sleep(5 * time.Second)
 	sources := c.sources(f)
-	setRunning := func(running bool) {
-		for _, i := range sources {
-			f.nodes[i].silent.Store(!running)
-			f.nodes[i].setRefusal(map[bool]refusal{true: served, false: forgotten}[running])
-		}
-	}
-	setRunning(false)
+	f.setRunning(sources, false)
 	time.Sleep(5 * time.Second)
-	setRunning(true)
+	f.setRunning(sources, true)
 	time.Sleep(2*time.Second - c.beforeEnd)
 	for i := range 4 {
 		f.store.putRecord("s/left"+strings.Repeat("x", i), true)
 		f.store.putRecord("s/other6789", false)
 	}
 	time.Sleep(c.beforeEnd)
-	setRunning(false)
+	f.setRunning(sources, false)
 	time.Sleep(4 * time.Second)
 	f.checkLists(t)
 }
+
+// TestDeletionAfterPause guards against instances that learn too late that a backend server
+// left, because those that they follow stood still for a while and hold deletions.
+func TestDeletionAfterPause(t *testing.T) {
+	for _, n := range []int{9, 20, 60} {
+		for _, kind := range []string{"readers", "relays"} {
+			if kind == "relays" && n <= 32 {
+				continue // There are none.
+			}
+			for _, afterPause := range []time.Duration{20 * time.Millisecond, 300 * time.Millisecond, time.Second, 1600 * time.Millisecond} {
+				t.Run(fmt.Sprintf("%d/%s/%v", n, kind, afterPause), func(t *testing.T) {
+					synctest.Test(t, (&pauseTrial{holdTrial{n, kind, afterPause}}).run)
+				})
+			}
+		}
+	}
+}
+
+// pauseTrial is one case of TestDeletionAfterPause.
+type pauseTrial struct{ holdTrial }
+
+func (c *pauseTrial) run(t *testing.T) {
+	f := newZonedFleet(c.n)
+	defer func() { f.stop(); f.running.Wait() }()
+	f.store.putRecord("s/left", false)
+	time.Sleep(5 * time.Second)
+	sources := c.sources(f)
+	f.setRunning(sources, false)
+	time.Sleep(5 * time.Second)
+	f.setRunning(sources, true)
+	time.Sleep(c.beforeEnd)
+	f.store.putRecord("s/left", true)
+	start := time.Now()
+	for i, x := range f.nodes {
+		for !slices.Contains(sources, i) && strings.Contains(serverNames(x.Watcher), "left") {
+			time.Sleep(10 * time.Millisecond)
+		}
+	}
+	if got := time.Since(start); got > maxChangeDelay {
+		t.Errorf("got the deletion at all instances that did not stand still after %v, want at most %v", got, maxChangeDelay)
+	}
+}
--- a/internal/platform/watcher/table.go
+++ b/internal/platform/watcher/table.go
@@ -20,7 +20,7 @@
 	heldDeletions  map[string]heldDeletion // Deletions that are applied after holdUntil unless a newer record arrives, by key.
 	position       Position                // Position up to which all changes are known.
 	sequence       uint64                  // Number of the last change to this table. Revisions cannot tell what a follower lacks, because a held deletion is applied long after its revision.
-	gapSequence    uint64                  // Changes up to this number do not tell a follower all that it lacks: they are of another epoch, or from before a read of all records.
+	gapSequence    uint64                  // Changes up to this number do not tell a follower all that it lacks: they are of another epoch, from before a read of all records, or their tombstones were removed.
 	prunedRevision uint64                  // Tombstones up to this revision may be missing.
 	loaded         bool                    // Set after the first load of all records.
 	provisional    bool                    // All that is known is a stale read.
@@ -345,5 +345,6 @@
 	for _, e := range tombstones[:len(tombstones)/2] {
 		delete(t.records, e.Key)
 		t.prunedRevision = max(t.prunedRevision, e.Revision)
+		t.gapSequence = max(t.gapSequence, e.sequence)
 	}
 }
--- a/internal/platform/watcher/table_test.go
+++ b/internal/platform/watcher/table_test.go
@@ -1,6 +1,7 @@
 package watcher_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -131,3 +132,30 @@
 		t.Errorf("got %v, want the deletion of a", records)
 	}
 }
+
+// TestManyDeletions guards against a follower that misses deletions, because so many came
+// at once that some of their tombstones were removed before they were sent.
+func TestManyDeletions(t *testing.T) {
+	const n = 3000
+	var records, deletions []watcher.Record
+	for i := range uint64(n) {
+		key := fmt.Sprintf("s%04d ", i)
+		records, deletions = append(records, newRecord(key, i+1)), append(deletions, newDeletion(key, n+i+1))
+	}
+	source, follower := new(watcher.Table), new(watcher.Table)
+	for _, table := range []*watcher.Table{source, follower} {
+		table.LoadAll(startTime, watcher.Batch{Records: records, Revision: n})
+	}
+	_, sequence, _ := source.ChangesSince(watcher.Position{Revision: n}, 0)
+	source.ApplyChanges(startTime, watcher.Batch{Records: deletions, After: n, Revision: 2 * n})
+	changes, _, full := source.ChangesSince(watcher.Position{Revision: n}, sequence)
+	b := watcher.Batch{Records: changes, Revision: 2 * n}
+	if full {
+		follower.LoadAll(startTime, b)
+	} else {
+		follower.ApplyChanges(startTime, b)
+	}
+	if got := len(follower.LiveRecords()); got != 0 {
+		t.Errorf("got %d records that were deleted, want 0", got)
+	}
+}
