--- a/internal/config/parser/check.go
+++ b/internal/config/parser/check.go
@@ -13,9 +13,11 @@
 	"time"
 )
 
+// MaxSlots is the largest number of slots of one backend server.
+const MaxSlots = 1 << 16
+
 // Limits of the values in settings, service files and bundles.
 const (
-	maxSlots    = 1 << 16
 	maxDeadline = 24 * time.Hour // The header Sardine-Deadline has the same limit.
 	maxFloorSum = 0.5            // Share of the slots that the floors of all ranks reserve at most.
 	minFill     = 0.25           // One of 4 slots; fill applies to backend servers with 4 slots or more.
--- a/internal/config/parser/check_service.go
+++ b/internal/config/parser/check_service.go
@@ -89,9 +89,9 @@
 	}
 	slots := joinPath(prefix, "slots")
 	if c.requireKey(slots) {
-		checkRange(c, slots, s.Slots, 1, maxSlots)
+		checkRange(c, slots, s.Slots, 1, MaxSlots)
 	}
-	checkRange(c, joinPath(prefix, "connections"), s.Connections, 1, maxSlots)
+	checkRange(c, joinPath(prefix, "connections"), s.Connections, 1, MaxSlots)
 	effective := s.WithDefaults()
 	if effective.Connections < s.Slots {
 		c.addMistake(joinPath(prefix, "connections"), "%d connections cannot serve %d slots", effective.Connections, s.Slots)
