Answer each call before the end of the grace time

Cause: the instance exited 0.3 s before the end of grace whatever was in flight, accepted calls during the whole notice whatever time was left, and could be killed in a notice longer than grace. Evidence: TestStopWithinGrace on the code before: EOF for the call in flight and for the late one in each case, and "signal: killed" with a notice of 2.5 s and a grace of 1.5 s. Change: a call whose target time is after the end of the shutdown is rejected at once, a shorter one has its deadline cut to it, calls in flight are ended and answered 0.5 s before the end of grace.

--- a/cmd/sardinelever/process_test.go
+++ b/cmd/sardinelever/process_test.go
@@ -69,6 +69,7 @@
 	binary           string
 	arrived, release chan bool
 	answer           chan string
+	grace            time.Duration // Time from SIGTERM to SIGKILL; 0 means none.
 }
 
 func startDeployment(t *testing.T) *deployment {
@@ -91,7 +92,7 @@
 		t.Fatal(err)
 	}
 	d.binary = l.BinaryPath()
-	settings := &parser.Settings{Name: "one", Zone: "a", Platform: testbed.PlatformURL, Notice: parser.Duration(notice), Plain: true}
+	settings := &parser.Settings{Name: "one", Zone: "a", Platform: testbed.PlatformURL, Notice: parser.Duration(notice), Grace: parser.Duration(d.grace), Plain: true}
 	err := launcher.ReservePorts(settings)
 	if err != nil {
 		t.Fatal(err)
--- a/internal/instance/runner/call_handler.go
+++ b/internal/instance/runner/call_handler.go
@@ -36,10 +36,11 @@
 	retrier      retrier.Retrier[*serverResponse]
 	responder    responder.Responder
 	bodyLimiter  sender.BodyLimiter
-	metrics      *meter.Metrics // nil means that nothing is counted.
-	stopping     atomic.Bool    // Tells callers to close their connections after the response.
-	log          *log.Logger    // nil means that calls are not logged.
-	checkPause   func()         // Detects a pause of the process; called before a call is classified.
+	metrics      *meter.Metrics             // nil means that nothing is counted.
+	stopping     atomic.Pointer[stopPeriod] // Set at the start of a shutdown; callers are then told to close their connections after the response.
+	callsEnded   context.Context            // Done when the shutdown ends the calls in flight; nil means never.
+	log          *log.Logger                // nil means that calls are not logged.
+	checkPause   func()                     // Detects a pause of the process; called before a call is classified.
 	// confirmedAt returns the time at which the configuration was last known to be
 	// that of the platform, or the zero time; nil means unknown.
 	confirmedAt func() time.Time
@@ -79,11 +80,14 @@
 	if h.checkPause != nil {
 		h.checkPause()
 	}
-	if h.stopping.Load() {
+	if h.stopping.Load() != nil {
 		w.Header().Set("Connection", "close")
 	}
 	table := h.routingTable.Load()
 	c, report := h.classifyRequest(table, r)
+	if report == nil {
+		report = h.stopping.Load().limitCall(c)
+	}
 	if report != nil {
 		h.recordRefusal(r, table.Version, report)
 		h.responder.WriteErrorReport(w, *report)
@@ -139,6 +143,8 @@
 	start := time.Now()
 	ctx, cancel := context.WithDeadline(r.Context(), c.Deadline)
 	defer cancel()
+	ctx, releaseEnd := h.withCallsEnd(ctx)
+	defer releaseEnd()
 	release, ok := h.bodyLimiter.Acquire(c.Service.Name, c.Service.Queue.Bytes, bodyMemoryBytes(r))
 	if !ok {
 		report := responder.ErrorReport{StatusCode: http.StatusServiceUnavailable, Reason: "memory", RetryAfter: time.Second}
@@ -227,6 +233,9 @@
 	case errors.As(err, &refusal):
 		report.Reason, report.RetryAfter = refusal.Reason, refusal.RetryAfter
 	}
+	if ctx.Err() != nil && h.areCallsEnded() {
+		report.Reason, report.RetryAfter = stoppingReason, stoppingRetryAfter
+	}
 	return report
 }
 
--- a/internal/instance/runner/instance.go
+++ b/internal/instance/runner/instance.go
@@ -81,6 +81,9 @@
 	i.Log.Info().Str("name", settings.Name).Str("zone", settings.Zone).Str("dialect", settings.Dialect).
 		Int("seeds", len(settings.Seeds)).Msg("instance: starting")
 	c := newComponents(&settings, i.Platform, i.Log)
+	var endCalls context.CancelFunc
+	c.handler.callsEnded, endCalls = context.WithCancel(context.Background())
+	defer endCalls()
 	i.components.Store(c)
 	servers, err := i.listen(c, g)
 	if err != nil {
@@ -92,7 +95,7 @@
 	g.Go(i.readinessTask(taskCtx, c))
 	select {
 	case <-ctx.Done():
-		i.shutdown(c, servers)
+		i.shutdown(c, servers, endCalls)
 	case <-taskCtx.Done():
 	}
 	_ = servers.operator.Close()
@@ -214,21 +217,21 @@
 }
 
 // shutdown announces that the instance leaves, still accepts calls for
-// Settings.Notice, and then waits until the calls in flight have finished, with
-// Settings.Grace until exitMargin before its end.
-func (i *Instance) shutdown(c *components, s *httpServers) {
+// Settings.Notice, and then waits until the calls in flight have finished. With
+// Settings.Grace it ends those that are left in time for their answers and returns
+// before its end.
+func (i *Instance) shutdown(c *components, s *httpServers, endCalls func()) {
+	settings := i.Settings.WithDefaults()
+	period := newStopPeriod(time.Now(), settings.Notice.AsDuration(), settings.Grace.AsDuration())
 	i.ready.Store(false)
 	c.members.Leave()
-	c.handler.stopping.Store(true)
-	settings := i.Settings.WithDefaults()
-	notice := settings.Notice.AsDuration()
-	i.Log.Info().Dur("notice", notice).Msg("instance: stopping; calls are accepted until the notice ends")
-	time.Sleep(notice)
-	// Calls in flight finish by their own deadlines. With Settings.Grace, after which
-	// the process is killed, the wait ends before that.
+	c.handler.stopping.Store(period)
+	i.Log.Info().Dur("notice", period.notice).Msg("instance: stopping; calls are accepted until the notice ends")
+	time.Sleep(period.notice)
 	ctx, cancel := context.WithCancel(context.Background())
-	if grace := settings.Grace.AsDuration(); grace > 0 {
-		ctx, cancel = context.WithTimeout(ctx, grace-notice-exitMargin)
+	if !period.end.IsZero() {
+		ctx, cancel = context.WithDeadline(ctx, period.end)
+		defer time.AfterFunc(time.Until(period.callsEnd), endCalls).Stop()
 	}
 	defer cancel()
 	if err := s.callers.Shutdown(ctx); err != nil {
--- /dev/null
+++ b/internal/instance/runner/stop_period.go
@@ -0,0 +1,69 @@
+package runner
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"sardinelever.example/sardinelever/internal/call/classifier"
+	"sardinelever.example/sardinelever/internal/call/responder"
+)
+
+const (
+	// answerMargin is how long before the end of the shutdown the calls still in flight are
+	// ended, so that their callers get an answer before the connections are closed.
+	answerMargin = 200 * time.Millisecond
+	// stoppingRetryAfter is the Retry-After of a call that an instance rejects because it
+	// stops. Another instance can serve the call at once.
+	stoppingRetryAfter = 100 * time.Millisecond
+	// stoppingReason is the reason of calls that are rejected or ended by a shutdown.
+	stoppingReason = "stopping"
+)
+
+// stopPeriod is the time from the start of a shutdown to its end. The process is killed
+// after Settings.Grace, so all calls have their answers before that.
+type stopPeriod struct {
+	callsEnd time.Time // Calls in flight are ended then; zero means never.
+	end      time.Time // The wait for calls ends then; zero means never.
+	notice   time.Duration
+}
+
+// newStopPeriod returns the stopPeriod of a shutdown that begins at now.
+func newStopPeriod(now time.Time, notice, grace time.Duration) *stopPeriod {
+	if grace <= 0 {
+		return &stopPeriod{notice: notice}
+	}
+	p := &stopPeriod{end: now.Add(grace - exitMargin), callsEnd: now.Add(grace - exitMargin - answerMargin)}
+	p.notice = max(min(notice, p.callsEnd.Sub(now)), 0)
+	return p
+}
+
+// limitCall lets c end with the calls of the stopPeriod. It returns a report when the
+// instance would not have the time that the call is to take at most, so that the caller
+// can use another instance at once.
+func (p *stopPeriod) limitCall(c *classifier.Call) *responder.ErrorReport {
+	if p == nil || p.callsEnd.IsZero() || !c.Deadline.After(p.callsEnd) {
+		return nil
+	}
+	if c.TargetTime.After(p.callsEnd) {
+		return &responder.ErrorReport{
+			StatusCode: http.StatusServiceUnavailable, Reason: stoppingReason, Detail: "the instance stops before the call could end", RetryAfter: stoppingRetryAfter,
+		}
+	}
+	c.Deadline = p.callsEnd
+	return nil
+}
+
+// withCallsEnd returns a context that is cancelled with ctx or when the shutdown ends the
+// calls in flight, and a function that releases it.
+func (h *callHandler) withCallsEnd(ctx context.Context) (context.Context, context.CancelFunc) {
+	if h.callsEnded == nil {
+		return ctx, func() {}
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	stop := context.AfterFunc(h.callsEnded, cancel)
+	return ctx, func() { stop(); cancel() }
+}
+
+// areCallsEnded reports whether the shutdown has ended the calls in flight.
+func (h *callHandler) areCallsEnded() bool { return h.callsEnded != nil && h.callsEnded.Err() != nil }
