--- a/internal/instance/runner/endless_test.go
+++ b/internal/instance/runner/endless_test.go
@@ -111,32 +111,37 @@
 	return m.HeapInuse
 }
 
-// TestEndlessResponse guards against bytes without end from a backend server, in a head
+// okLine is the first line of a response.
+const okLine = "HTTP/1.1 200 OK\r\n"
+
+// endlessResponses are bytes without end from a backend server: those of start and then
+// repeat again and again. Alternatives in want are separated by |.
+var endlessResponses = []struct {
+	name, start, repeat string
+	want                string
+}{
+	{"status line", "HTTP/1.1 200 ", "x", "502 unknown read"},
+	{"no protocol", "", "x", "502 unknown read"},
+	{"header lines", okLine, "X-Fill: x\r\n", "502 unknown read"},
+	{"one header line", okLine + "X-Fill: ", "x", "502 unknown read"},
+	{"empty lines", "", "\r\n", "502 unknown read"},
+	{"informational answers", "", "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n", "502 unknown read|504 unknown deadline"},
+	{"continue", "", "HTTP/1.1 100 Continue\r\n\r\n", "502 unknown read|504 unknown deadline"},
+	{"unframed body", okLine + "\r\n", "x", "cut|no answer"},
+	{"chunked body", okLine + "Transfer-Encoding: chunked\r\n\r\n", "1\r\nx\r\n", "cut|no answer"},
+	{"chunk size", okLine + "Transfer-Encoding: chunked\r\n\r\n", "0", "cut|no answer"},
+	{"chunk extension", okLine + "Transfer-Encoding: chunked\r\n\r\n1;", "x", "cut|no answer"},
+	{"trailers", okLine + "Transfer-Encoding: chunked\r\n\r\n0\r\n", "X: x\r\n", "cut|no answer"},
+	{"after the end", okLine + "Content-Length: 5\r\n\r\nhello", "x", "200 hello"},
+	{"long body", okLine + "Content-Length: 99999999999\r\n\r\n", "x", "cut|no answer"},
+}
+
+// TestEndlessResponse guards against bytes without end from a backend server, in a okLine
 // or in a body, that reach the caller as a complete success, keep a connection or a call
 // open after the deadline, or fill the memory.
 func TestEndlessResponse(t *testing.T) {
-	const head = "HTTP/1.1 200 OK\r\n"
 	const maxHeapGrowth = 10 << 20
-	tests := []struct {
-		name, start, repeat string
-		want                string // Alternatives are separated by |.
-	}{
-		{"status line", "HTTP/1.1 200 ", "x", "502 unknown read"},
-		{"no protocol", "", "x", "502 unknown read"},
-		{"header lines", head, "X-Fill: x\r\n", "502 unknown read"},
-		{"one header line", head + "X-Fill: ", "x", "502 unknown read"},
-		{"empty lines", "", "\r\n", "502 unknown read"},
-		{"informational answers", "", "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n", "502 unknown read|504 unknown deadline"},
-		{"continue", "", "HTTP/1.1 100 Continue\r\n\r\n", "502 unknown read|504 unknown deadline"},
-		{"unframed body", head + "\r\n", "x", "cut|no answer"},
-		{"chunked body", head + "Transfer-Encoding: chunked\r\n\r\n", "1\r\nx\r\n", "cut|no answer"},
-		{"chunk size", head + "Transfer-Encoding: chunked\r\n\r\n", "0", "cut|no answer"},
-		{"chunk extension", head + "Transfer-Encoding: chunked\r\n\r\n1;", "x", "cut|no answer"},
-		{"trailers", head + "Transfer-Encoding: chunked\r\n\r\n0\r\n", "X: x\r\n", "cut|no answer"},
-		{"after the end", head + "Content-Length: 5\r\n\r\nhello", "x", "200 hello"},
-		{"long body", head + "Content-Length: 99999999999\r\n\r\n", "x", "cut|no answer"},
-	}
-	for _, tt := range tests {
+	for _, tt := range endlessResponses {
 		t.Run(tt.name, func(t *testing.T) {
 			s := &rawServer{start: tt.start, repeat: tt.repeat}
 			d := startRawDeployment(t, s)
@@ -193,14 +198,13 @@
 // TestBrokenOffResponse guards against an answer that breaks off halfway and reaches
 // the caller as a complete success, however its end is marked.
 func TestBrokenOffResponse(t *testing.T) {
-	const head = "HTTP/1.1 200 OK\r\n"
 	for _, tt := range []struct{ name, start string }{
-		{"length", head + "Content-Length: 10\r\n\r\nhello"},
-		{"chunk", head + "Transfer-Encoding: chunked\r\n\r\n5\r\nhel"},
-		{"last chunk", head + "Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n"},
-		{"end of the last chunk", head + "Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n"},
-		{"trailers", head + "Transfer-Encoding: chunked\r\nTrailer: X\r\n\r\n5\r\nhello\r\n0\r\nX: 1\r\n"},
-		{"connection", head + "\r\nhello"},
+		{"length", okLine + "Content-Length: 10\r\n\r\nhello"},
+		{"chunk", okLine + "Transfer-Encoding: chunked\r\n\r\n5\r\nhel"},
+		{"last chunk", okLine + "Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n"},
+		{"end of the last chunk", okLine + "Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n"},
+		{"trailers", okLine + "Transfer-Encoding: chunked\r\nTrailer: X\r\n\r\n5\r\nhello\r\n0\r\nX: 1\r\n"},
+		{"connection", okLine + "\r\nhello"},
 	} {
 		for _, protocol := range []string{"HTTP/1.1", "HTTP/2"} {
 			t.Run(tt.name+"/"+protocol, func(t *testing.T) {
