Close no connection that a request was just sent on in a planned stop

What callers saw: when an instance stops under load and no balancer moved them away, EOF without an answer to requests that it had just read. Change: the listener is closed first; the server is shut down when no connection has a request or was just accepted.

--- a/internal/instance/runner/instance.go
+++ b/internal/instance/runner/instance.go
@@ -117,7 +117,11 @@
 }
 
 // httpServers are the HTTP servers of an instance.
-type httpServers struct{ callers, operator *http.Server }
+type httpServers struct {
+	callers, operator *http.Server
+	callersListener   net.Listener
+	callerConns       connTracker
+}
 
 // listen opens the listeners for callers, operators and other instances and starts
 // to serve them in g.
@@ -128,7 +132,8 @@
 	}
 	addr := l.Addr().(*net.TCPAddr).AddrPort()
 	i.callersAddr.Store(&addr)
-	s := &httpServers{callers: newHTTPServer(&c.handler), operator: newHTTPServer(c.newReporter(i.Ready).Handler())}
+	s := &httpServers{callers: newHTTPServer(&c.handler), operator: newHTTPServer(c.newReporter(i.Ready).Handler()), callersListener: l}
+	s.callers.ConnState = s.callerConns.setState
 	if i.Settings.Operator.IsValid() {
 		operatorListener, err := net.Listen("tcp", i.Settings.Operator.String())
 		if err != nil {
@@ -178,7 +183,7 @@
 // serveFunc returns a function that serves l until s is closed or shut down.
 func serveFunc(s *http.Server, l net.Listener) func() error {
 	return func() error {
-		if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 			return err
 		}
 		return nil
@@ -234,6 +239,8 @@
 		defer time.AfterFunc(time.Until(period.callsEnd), endCalls).Stop()
 	}
 	defer cancel()
+	_ = s.callersListener.Close()
+	s.callerConns.awaitUnused(ctx)
 	if err := s.callers.Shutdown(ctx); err != nil {
 		i.Log.Warn().Err(err).Msg("instance: calls are still in flight at the end of the grace time")
 	}
