--- a/internal/platform/watcher/doc.go
+++ b/internal/platform/watcher/doc.go
@@ -7,6 +7,11 @@
 // revision up to which all changes are known. A record is only ever replaced by one
 // with a higher revision, so changes from several sources may arrive in any order.
 //
+// The records of a copy are those of the store at its position, except those that it knows
+// to have changed since. All that is sent and applied keeps this: the position moves only
+// over changes that begin at it, changes are sent only from where their sender knows every
+// deletion, and followers are told no position past what is applied (Table.AppliedPosition).
+//
 // A store that is restored from a copy loses its last changes and gives out their
 // revisions again. It states how often that happened, its epoch; revisions are compared
 // within one epoch only. With a later epoch all records are read again, and what was
@@ -18,7 +23,7 @@
 //
 // A feed starts with a message Subscribe that has the revision known to the
 // follower and its epoch. Each message Feed that follows has the changes since the one before,
-// the revision up to which they are complete (At), the time in nanoseconds since
+// the revision up to which they are complete and applied (At), the time in nanoseconds since
 // the store confirmed that (Age) and the instance to which it did (Reader). A standby
 // feed has no changes; its follower subscribes to them when At is ahead of what it knows.
 package watcher
