Reject a late call of a stop only when it would start to run

What callers saw: nothing; read in review of this change. The rejection came before the deduplication, so a repeat of an identified call that had run was answered as not run. Change: the check moves to the start of serveCall, behind the deduper; such calls count and are logged like other rejected ones. Result: the tests of runner and cmd/sardinelever pass, TestStopWithinGrace among them.

--- a/internal/instance/runner/call_handler.go
+++ b/internal/instance/runner/call_handler.go
@@ -85,9 +85,6 @@
 	}
 	table := h.routingTable.Load()
 	c, report := h.classifyRequest(table, r)
-	if report == nil {
-		report = h.stopping.Load().limitCall(c)
-	}
 	if report != nil {
 		h.recordRefusal(r, table.Version, report)
 		h.responder.WriteErrorReport(w, *report)
@@ -141,6 +138,11 @@
 // to the caller, and returns whether a backend server may have run the call.
 func (h *callHandler) serveCall(w http.ResponseWriter, r *http.Request, c *classifier.Call) (ran bool) {
 	start := time.Now()
+	if report := h.stopping.Load().limitCall(c); report != nil {
+		h.responder.WriteErrorReport(w, *report)
+		h.recordCall(&activeCall{callHandler: h, call: c}, sender.Rejected.String(), report, start)
+		return false
+	}
 	ctx, cancel := context.WithDeadline(r.Context(), c.Deadline)
 	defer cancel()
 	ctx, releaseEnd := h.withCallsEnd(ctx)
