--- a/cmd/sardinelever/stop_grace_test.go
+++ b/cmd/sardinelever/stop_grace_test.go
@@ -38,44 +38,52 @@
 // grace time of a planned stop: those in flight when it begins, and those that come later
 // and take longer than what is left.
 func TestStopWithinGrace(t *testing.T) {
-	for _, c := range []struct{ notice, grace time.Duration }{
+	for _, c := range []graceTrial{
 		{time.Millisecond, 1500 * time.Millisecond},
 		{400 * time.Millisecond, 1500 * time.Millisecond},
 		{2500 * time.Millisecond, 1500 * time.Millisecond}, // The notice is longer than the grace time.
 	} {
-		t.Run(fmt.Sprint(c.notice), func(t *testing.T) {
-			d := &deployment{arrived: make(chan bool, 9), release: make(chan bool, 9), answer: make(chan string, 1), grace: c.grace}
-			d.start(t, c.notice, provisioner.ServerGroup{Service: parser.Service{Name: "guidance", Slots: 9}, ServerCount: 1, ServiceTime: d.holdCall})
-			t.Cleanup(func() { close(d.release) })
-			send := func(deadline string) chan string {
-				caller := &outcomeCaller{d.CallersURL() + "/guidance/book", deadline, make(chan string, 1)}
-				go caller.run()
-				return caller.answer
-			}
-			early := send("10000")
-			<-d.arrived
-			if err := d.Signal(syscall.SIGTERM); err != nil {
-				t.Fatal(err)
-			}
-			kill := time.AfterFunc(c.grace, d.kill) // As the platform does.
-			defer kill.Stop()
-			d.awaitNotReady(t)
-			if c.notice > 100*time.Millisecond {
-				late, brief := send("10000"), send("200")
-				if got, want := <-late, "503 rejected stopping"; got != want {
-					t.Errorf("got %q for a call that cannot end before the process, want %q", got, want)
-				}
-				if got, want := <-brief, "504 unknown deadline"; got != want {
-					t.Errorf("got %q for a call that ends before the process, want %q", got, want)
-				}
-			}
-			if got, want := <-early, "502 unknown stopping"; got != want {
-				t.Errorf("got %q for a call that was in flight, want %q", got, want)
-			}
-			<-d.Done()
-			if got := d.Err(); got != nil {
-				t.Errorf("got exit %v, want status 0 before the process is killed", got)
-			}
-		})
+		t.Run(fmt.Sprint(c.notice), c.run)
 	}
 }
+
+// graceTrial is one case of TestStopWithinGrace.
+type graceTrial struct{ notice, grace time.Duration }
+
+func (c graceTrial) run(t *testing.T) {
+	d := &deployment{arrived: make(chan bool, 9), release: make(chan bool, 9), answer: make(chan string, 1), grace: c.grace}
+	d.start(t, c.notice, provisioner.ServerGroup{Service: parser.Service{Name: "guidance", Slots: 9}, ServerCount: 1, ServiceTime: d.holdCall})
+	t.Cleanup(func() { close(d.release) })
+	early := d.sendOutcomeCall("10000")
+	<-d.arrived
+	if err := d.Signal(syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	kill := time.AfterFunc(c.grace, d.kill) // As the platform does.
+	defer kill.Stop()
+	d.awaitNotReady(t)
+	if c.notice > 100*time.Millisecond {
+		late, brief := d.sendOutcomeCall("10000"), d.sendOutcomeCall("200")
+		if got, want := <-late, "503 rejected stopping"; got != want {
+			t.Errorf("got %q for a call that cannot end before the process, want %q", got, want)
+		}
+		if got, want := <-brief, "504 unknown deadline"; got != want {
+			t.Errorf("got %q for a call that ends before the process, want %q", got, want)
+		}
+	}
+	if got, want := <-early, "502 unknown stopping"; got != want {
+		t.Errorf("got %q for a call that was in flight, want %q", got, want)
+	}
+	<-d.Done()
+	if got := d.Err(); got != nil {
+		t.Errorf("got exit %v, want status 0 before the process is killed", got)
+	}
+}
+
+// sendOutcomeCall sends a call with a deadline in milliseconds and returns the channel for
+// the description of its answer.
+func (d *deployment) sendOutcomeCall(deadline string) <-chan string {
+	caller := &outcomeCaller{d.CallersURL() + "/guidance/book", deadline, make(chan string, 1)}
+	go caller.run()
+	return caller.answer
+}
--- a/internal/platform/watcher/stale_start_test.go
+++ b/internal/platform/watcher/stale_start_test.go
@@ -62,9 +62,7 @@
 // before it left.
 func (f *zonedFleet) leaveFleet(t *testing.T) (earlier watcher.Batch) {
 	f.changeDelay(t, "s/left56789")
-	f.store.mu.Lock()
-	earlier = f.store.changesSince(0, true)
-	f.store.mu.Unlock()
+	earlier = f.store.allRecords()
 	f.store.putRecord("s/left56789", true)
 	f.changeDelay(t, "s/other")
 	return earlier
@@ -161,9 +159,7 @@
 		f.store.putRecord("s/left"+strings.Repeat("x", i), false)
 	}
 	for i := range 4 {
-		f.store.mu.Lock()
-		b := f.store.changesSince(0, true)
-		f.store.mu.Unlock()
+		b := f.store.allRecords()
 		reads = append(reads, &b)
 		f.store.putRecord("s/left"+strings.Repeat("x", i), true)
 	}
@@ -247,33 +243,42 @@
 func TestPagesOfDifferentAge(t *testing.T) {
 	for _, n := range startSizes {
 		for _, order := range [][]int{{1, 0}, {0, 1}, {1, 0, 2}, {2, 1, 0}} {
-			t.Run(fmt.Sprint(n, order), func(t *testing.T) {
-				synctest.Test(t, func(t *testing.T) {
-					f := newZonedFleet(n)
-					defer func() { f.stop(); f.running.Wait() }()
-					time.Sleep(2 * time.Second)
-					for _, key := range []string{"s/a", "s/b2", "s/k123", "s/left7890", "s/other6"} {
-						f.changeDelay(t, key)
-					}
-					var copies []watcher.Batch
-					for _, key := range []string{"s/left7890", "s/b2", ""} {
-						f.store.mu.Lock()
-						copies = append(copies, f.store.changesSince(0, true))
-						f.store.mu.Unlock()
-						if key != "" {
-							f.store.putRecord(key, true)
-						}
-					}
-					f.changeDelay(t, "s/last678901")
-					var read []watcher.Batch
-					for _, i := range order {
-						read = append(read, copies[i])
-					}
-					for i := range 3 {
-						f.startLate(t, i, 3*time.Second, func(x *zonedInstance) watcher.Store { return &pagedStore{x, read, 2, 0} })
-					}
-				})
-			})
+			t.Run(fmt.Sprint(n, order), func(t *testing.T) { synctest.Test(t, (&pageTrial{n, order}).run) })
 		}
 	}
 }
+
+// pageTrial is one case of TestPagesOfDifferentAge.
+type pageTrial struct {
+	n     int
+	order []int // Index of the copy that each page is from; a higher one is newer.
+}
+
+func (c *pageTrial) run(t *testing.T) {
+	f := newZonedFleet(c.n)
+	defer func() { f.stop(); f.running.Wait() }()
+	time.Sleep(2 * time.Second)
+	for _, key := range []string{"s/a", "s/b2", "s/k123", "s/left7890", "s/other6"} {
+		f.changeDelay(t, key)
+	}
+	copies := []watcher.Batch{f.store.allRecords()}
+	for _, key := range []string{"s/left7890", "s/b2"} {
+		f.store.putRecord(key, true)
+		copies = append(copies, f.store.allRecords())
+	}
+	f.changeDelay(t, "s/last678901")
+	var read []watcher.Batch
+	for _, i := range c.order {
+		read = append(read, copies[i])
+	}
+	for i := range 3 {
+		f.startLate(t, i, 3*time.Second, func(x *zonedInstance) watcher.Store { return &pagedStore{x, read, 2, 0} })
+	}
+}
+
+// allRecords returns all records that exist.
+func (s *fakeStore) allRecords() watcher.Batch {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.changesSince(0, true)
+}
