--- a/internal/platform/watcher/age_test.go
+++ b/internal/platform/watcher/age_test.go
@@ -28,10 +28,19 @@
 	store   *fakeStore
 	members []registrar.Member
 	nodes   []*zonedInstance
+	nodesMu sync.Mutex // Held while an instance is replaced or looked up by another one.
+	ctx     context.Context
 	stop    context.CancelFunc
 	running sync.WaitGroup
 }
 
+// node returns the instance with index i.
+func (f *zonedFleet) node(i int) *zonedInstance {
+	f.nodesMu.Lock()
+	defer f.nodesMu.Unlock()
+	return f.nodes[i]
+}
+
 // zonedInstance is an instance of a zonedFleet. It implements watcher.Store and
 // watcher.StreamOpener.
 type zonedInstance struct {
@@ -41,6 +50,8 @@
 	refusal refusal
 	silent  atomic.Bool    // All its streams lose what is sent.
 	earlier *watcher.Batch // What stale reads return; nil means the records as they are.
+	ctx     context.Context
+	stop    context.CancelFunc
 }
 
 // refusal is how the store treats one instance.
@@ -65,17 +76,22 @@
 
 // start starts all instances; none of them may run.
 func (f *zonedFleet) start() {
-	var ctx context.Context
-	ctx, f.stop = context.WithCancel(context.Background())
+	f.ctx, f.stop = context.WithCancel(context.Background())
 	for i, x := range f.nodes {
-		x.Watcher = &watcher.Watcher{
-			Store: x, Decoder: fakeDecoder{}, Name: f.members[i].Name, Zone: f.members[i].Zone, Region: "r", Fleet: f, StreamOpener: x, BundleSink: new(bundleRecorder), Log: &discardLogger,
-		}
+		f.newWatcher(i, x)
 	}
 	for _, x := range f.nodes {
 		f.running.Add(1)
-		go (&runningWatcher{x.Watcher, &f.running}).run(ctx)
+		go (&runningWatcher{x.Watcher, &f.running}).run(x.ctx)
+	}
+}
+
+// newWatcher prepares x to run as the instance with index i.
+func (f *zonedFleet) newWatcher(i int, x *zonedInstance) {
+	x.Watcher = &watcher.Watcher{
+		Store: x, Decoder: fakeDecoder{}, Name: f.members[i].Name, Zone: f.members[i].Zone, Region: "r", Fleet: f, StreamOpener: x, BundleSink: new(bundleRecorder), Log: &discardLogger,
 	}
+	x.ctx, x.stop = context.WithCancel(f.ctx)
 }
 
 func (f *zonedFleet) UsableMembers(_, _ string) []registrar.Member { return f.members }
@@ -132,7 +148,7 @@
 // OpenStream implements watcher.StreamOpener.
 func (x *zonedInstance) OpenStream(ctx context.Context, peer netip.AddrPort, _ connector.StreamKind) (net.Conn, error) {
 	time.Sleep(2 * time.Millisecond)
-	y := x.fleet.nodes[peer.Port()-1]
+	y := x.fleet.node(int(peer.Port() - 1))
 	if x.silent.Load() || y.silent.Load() {
 		<-ctx.Done()
 		return nil, ctx.Err()
--- a/internal/platform/watcher/stale_start_test.go
+++ b/internal/platform/watcher/stale_start_test.go
@@ -219,6 +219,7 @@
 	*zonedInstance
 	copies   []watcher.Batch
 	pageSize int
+	delay    time.Duration // Of the first page.
 	pages    int
 }
 
@@ -226,6 +227,9 @@
 	if !stale {
 		return s.zonedInstance.ReadPage(ctx, after, false)
 	}
+	if s.pages == 0 {
+		time.Sleep(s.delay)
+	}
 	b := s.copies[s.pages%len(s.copies)]
 	s.pages++
 	b.Records = slices.SortedFunc(slices.Values(b.Records), func(a, b watcher.Record) int { return strings.Compare(a.Key, b.Key) })
@@ -272,7 +276,7 @@
 		read = append(read, copies[i])
 	}
 	for i := range 3 {
-		f.startLate(t, i, 3*time.Second, func(x *zonedInstance) watcher.Store { return &pagedStore{x, read, 2, 0} })
+		f.startLate(t, i, 3*time.Second, func(x *zonedInstance) watcher.Store { return &pagedStore{zonedInstance: x, copies: read, pageSize: 2} })
 	}
 }
 
