--- /dev/null
+++ b/internal/route/withholder/withholder.go
@@ -0,0 +1,198 @@
+package withholder
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"sardinelever.example/sardinelever/internal/operator/auditor"
+	"sardinelever.example/sardinelever/internal/operator/meter"
+	"sardinelever.example/sardinelever/internal/route/router"
+)
+
+// Lifetime identifies one run of a backend server's process.
+type Lifetime struct {
+	Name         string
+	ProcessStart uint64 // As in router.BackendServer; 0 when unknown.
+}
+
+// LifetimeOf returns the lifetime of s according to the platform's list.
+func LifetimeOf(s *router.BackendServer) Lifetime { return Lifetime{s.Name, s.ProcessStart} }
+
+// Source names what told this instance of a change, in the log and the metrics.
+type Source string
+
+// The sources in this instance; those in other instances are made by FromInstance.
+const (
+	FromRequest Source = "request" // Response to a call, also to its second send.
+	FromRefusal Source = "refusal" // Response that states that the call did not run, also with status 421.
+	FromLate    Source = "late"    // Late response to an earlier call.
+	FromProbe   Source = "probe"
+)
+
+const instancePrefix = "instance "
+
+// FromInstance returns the source for a message of the named instance.
+func FromInstance(name string) Source { return Source(instancePrefix + name) }
+
+// Withholder holds the statements of all backend servers. Its methods are safe for
+// concurrent use; those of a nil *Withholder know of no statement. The exported fields
+// are set before the first call.
+type Withholder struct {
+	Audit   *auditor.Trail
+	Metrics *meter.Metrics // nil means that nothing is counted.
+
+	count   atomic.Int64 // Number of servers; lets IsWithheld skip the lock while there is none.
+	mu      sync.Mutex
+	servers map[Lifetime]*serverState
+	changed chan struct{} // Closed and replaced at each change.
+}
+
+// serverState holds the statements of one lifetime.
+type serverState struct {
+	leaving  bool
+	listedAt time.Time // Last time at which the lifetime was listed or a statement arrived.
+}
+
+const (
+	// unlistedRetention is how long a statement is kept of a lifetime that the platform
+	// does not list. It exceeds the time for which a store in disturbance may list a
+	// server again.
+	unlistedRetention = 15 * time.Minute
+	// maxServers bounds the memory, at about 100 bytes for each lifetime.
+	maxServers = 1 << 14
+)
+
+// IsWithheld reports whether no call and no probe may start at l now.
+func (w *Withholder) IsWithheld(_ time.Time, l Lifetime) bool { return w.IsLeaving(l) }
+
+// IsLeaving reports whether l has stated that it is leaving.
+func (w *Withholder) IsLeaving(l Lifetime) bool {
+	if w == nil || w.count.Load() == 0 {
+		return false
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	s := w.servers[l]
+	return s != nil && s.leaving
+}
+
+// RecordLeaving records that l has stated that it is leaving, and reports whether
+// this was not known before.
+func (w *Withholder) RecordLeaving(now time.Time, l Lifetime, source Source) bool {
+	if w == nil || l.Name == "" {
+		return false
+	}
+	w.mu.Lock()
+	s := w.stateOf(now, l)
+	changed := !s.leaving
+	s.leaving, s.listedAt = true, now
+	if changed {
+		w.notify()
+	}
+	w.mu.Unlock()
+	if changed {
+		w.report(now, l, source)
+	}
+	return changed
+}
+
+// stateOf returns the state of l and adds it if there is none. w.mu must be held.
+func (w *Withholder) stateOf(now time.Time, l Lifetime) *serverState {
+	if s := w.servers[l]; s != nil {
+		return s
+	}
+	if w.servers == nil {
+		w.servers = make(map[Lifetime]*serverState)
+	}
+	if len(w.servers) >= maxServers {
+		w.dropOldest()
+	}
+	s := &serverState{listedAt: now}
+	w.servers[l] = s
+	w.count.Store(int64(len(w.servers)))
+	return s
+}
+
+// dropOldest removes the lifetime that has not been listed for the longest time.
+func (w *Withholder) dropOldest() {
+	var oldest Lifetime
+	var at time.Time
+	for l, s := range w.servers {
+		if at.IsZero() || s.listedAt.Before(at) {
+			oldest, at = l, s.listedAt
+		}
+	}
+	delete(w.servers, oldest)
+}
+
+// notify wakes those who wait for a change. w.mu must be held.
+func (w *Withholder) notify() {
+	if w.changed != nil {
+		close(w.changed)
+		w.changed = nil
+	}
+}
+
+// Changed returns a channel that is closed at the next change of a statement. It is
+// nil for a nil *Withholder.
+func (w *Withholder) Changed() <-chan struct{} {
+	if w == nil {
+		return nil
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.changed == nil {
+		w.changed = make(chan struct{})
+	}
+	return w.changed
+}
+
+// LeavingLifetimes returns all lifetimes that have stated that they are leaving.
+func (w *Withholder) LeavingLifetimes() []Lifetime {
+	if w == nil || w.count.Load() == 0 {
+		return nil
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var leaving []Lifetime
+	for l, s := range w.servers {
+		if s.leaving {
+			leaving = append(leaving, l)
+		}
+	}
+	return leaving
+}
+
+// MarkLeaving sets Leaving for the servers in t that have stated that they are
+// leaving. It must be called before t is in use. It also drops statements of
+// lifetimes that have not been listed for long.
+func (w *Withholder) MarkLeaving(now time.Time, t *router.RoutingTable) {
+	if w == nil || w.count.Load() == 0 {
+		return
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, service := range t.Services {
+		for i := range service.Servers {
+			if s := w.servers[LifetimeOf(&service.Servers[i])]; s != nil {
+				s.listedAt = now
+				service.Servers[i].Leaving = service.Servers[i].Leaving || s.leaving
+			}
+		}
+	}
+	for l, s := range w.servers {
+		if now.Sub(s.listedAt) > unlistedRetention {
+			delete(w.servers, l)
+		}
+	}
+	w.count.Store(int64(len(w.servers)))
+}
+
+// report adds a change to the audit trail, which logs it, and counts it.
+func (w *Withholder) report(now time.Time, l Lifetime, source Source) {
+	w.Audit.RecordChange(auditor.Change{
+		Time: now, Component: "route", Subject: l.Name, Cause: "statement of the server: " + string(source),
+		Before: "not withheld", After: "leaving",
+	})
+}
