Start nothing at a server that said that it leaves

Callers' requests reached backend servers for as long as their record said ready, although these had said in their answers that they leave (Server-Leaving: 1). The platform ends such a process, so requests broke off or were cut.

The state draining, which the native dialect sets, would not have been enough: it belongs to the pool of one home, is lost with that home or a relisted record, and a probe without the signal lifts it. Class: knowledge from an answer that has no owner of its own and yields to later, older news.

Package withholder owns what servers have said, by lifetime of their process. The sender records it at the head of each answer (also refusals, 421, late ones, probes) for the lifetime for which the connection was opened, and asks once more before it writes on a connection. The routing table of each instance shows the server as leaving, so homes move or refuse queued asks and recall kept slots, and a whole service that leaves is refused at once.

--- a/internal/call/sender/late_response_test.go
+++ b/internal/call/sender/late_response_test.go
@@ -10,6 +10,7 @@
 
 	"sardinelever.example/sardinelever/internal/call/sender"
 	"sardinelever.example/sardinelever/internal/call/translator"
+	"sardinelever.example/sardinelever/internal/route/withholder"
 )
 
 // lateServer answers the first request on a connection and sends one more response,
@@ -112,7 +113,7 @@
 	}
 	time.Sleep(20 * time.Millisecond) // The connection goes back to the pool; without it the probe opens one.
 	var metadata translator.ResponseMetadata
-	metadata, err = s.ProbeServer(t.Context(), b.addr(), "/load", 250)
+	metadata, err = s.ProbeServer(t.Context(), b.addr(), withholder.Lifetime{}, "/load", 250)
 	if b.connCount.Load() == 1 && err == nil {
 		t.Errorf("got %+v from a late answer to a call, want an error", metadata)
 	}
--- a/internal/call/sender/pool.go
+++ b/internal/call/sender/pool.go
@@ -7,6 +7,10 @@
 	"net/netip"
 	"sync"
 	"time"
+
+	"github.com/pkg/errors"
+
+	"sardinelever.example/sardinelever/internal/route/withholder"
 )
 
 const (
@@ -32,8 +36,9 @@
 	*http.ClientConn
 	tracked   *trackedConn
 	pool      *connPool
-	idleTimer *time.Timer // Calls closeIfIdle; set while the connection is in the pool.
-	lastUsed  time.Time   // End of the last exchange; zero for a new connection.
+	lifetime  withholder.Lifetime // Process that had the address when the connection was opened.
+	idleTimer *time.Timer         // Calls closeIfIdle; set while the connection is in the pool.
+	lastUsed  time.Time           // End of the last exchange; zero for a new connection.
 }
 
 // connPool holds the connections to one backend server.
@@ -61,11 +66,28 @@
 	return conn.tracked, nil
 }
 
-// acquireConn returns a connection that has been idle for at most maxIdle, or a
-// new one. It waits while limit connections are open and none of them is idle.
-func (p *connPool) acquireConn(ctx context.Context, transport *http.Transport, maxIdle time.Duration, limit int) (*pooledConn, error) {
+// ErrWithheld reports that nothing was sent because the backend server is withheld.
+var ErrWithheld = errors.New("the backend server wants no calls")
+
+// connRequest describes the connection that acquireConn returns.
+type connRequest struct {
+	lifetime   withholder.Lifetime
+	maxIdle    time.Duration // Longest idle time; 0 requires a new connection.
+	limit      int           // Most connections that may be open.
+	withholder *withholder.Withholder
+}
+
+func (r *connRequest) isWithheld() bool { return r.withholder.IsWithheld(time.Now(), r.lifetime) }
+
+// acquireConn returns an idle connection that suits r, or a new one. It waits while
+// limit connections are open and none of them is idle. The error is ErrWithheld as soon
+// as the backend server is withheld.
+func (p *connPool) acquireConn(ctx context.Context, transport *http.Transport, r connRequest) (*pooledConn, error) {
 	for {
-		conn, stale, wait := p.tryAcquireConn(maxIdle, limit)
+		if r.isWithheld() {
+			return nil, ErrWithheld
+		}
+		conn, stale, wait := p.tryAcquireConn(&r)
 		if stale != nil {
 			_ = stale.Close()
 			continue
@@ -74,38 +96,67 @@
 			return conn, nil
 		}
 		if wait == nil {
-			return p.dialConn(ctx, transport)
+			return p.dialAllowedConn(ctx, transport, &r)
 		}
-		select {
-		case <-wait:
-		case <-ctx.Done():
-			return nil, ctx.Err()
+		if err := p.awaitChange(ctx, wait, &r); err != nil {
+			return nil, err
 		}
 	}
 }
 
+// awaitChange returns when wait is closed or a statement of a backend server changes.
+func (p *connPool) awaitChange(ctx context.Context, wait <-chan struct{}, r *connRequest) error {
+	statements := r.withholder.Changed()
+	if r.isWithheld() {
+		return ErrWithheld
+	}
+	select {
+	case <-wait:
+	case <-statements:
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	return nil
+}
+
+// dialAllowedConn opens a connection like dialConn and closes it if the backend server
+// was withheld meanwhile.
+func (p *connPool) dialAllowedConn(ctx context.Context, transport *http.Transport, r *connRequest) (*pooledConn, error) {
+	conn, err := p.dialConn(ctx, transport, r.lifetime)
+	if err == nil && r.isWithheld() {
+		_ = conn.Close()
+		return nil, ErrWithheld
+	}
+	return conn, err
+}
+
 // tryAcquireConn returns one of: a usable idle connection, a stale idle
-// connection that must be closed to stay within limit, a channel to wait on, or
-// three nil values when the caller must dial a connection, which is then already
-// counted in openConns.
-func (p *connPool) tryAcquireConn(maxIdle time.Duration, limit int) (conn, stale *pooledConn, wait <-chan struct{}) {
+// connection that must be closed because it leads to another process or to stay
+// within the limit, a channel to wait on, or three nil values when the caller must
+// dial a connection, which is then already counted in openConns.
+func (p *connPool) tryAcquireConn(r *connRequest) (conn, stale *pooledConn, wait <-chan struct{}) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if n := len(p.idleConns); n > 0 {
 		conn := p.idleConns[n-1]
-		if conn.Err() == nil && time.Since(conn.lastUsed) <= maxIdle {
+		if conn.lifetime != r.lifetime {
+			p.idleConns = p.idleConns[:n-1]
+			conn.idleTimer.Stop()
+			return nil, conn, nil
+		}
+		if conn.Err() == nil && time.Since(conn.lastUsed) <= r.maxIdle {
 			p.idleConns = p.idleConns[:n-1]
 			conn.idleTimer.Stop()
 			return conn, nil, nil
 		}
-		if p.openConns >= limit {
+		if p.openConns >= r.limit {
 			stale := p.idleConns[0]
 			p.idleConns = p.idleConns[1:]
 			stale.idleTimer.Stop()
 			return nil, stale, nil
 		}
 	}
-	if p.openConns < limit {
+	if p.openConns < r.limit {
 		p.openConns++
 		return nil, nil, nil
 	}
@@ -114,8 +165,8 @@
 
 // dialConn opens a connection that tryAcquireConn has counted in openConns. When
 // that fails, it is no longer counted.
-func (p *connPool) dialConn(ctx context.Context, transport *http.Transport) (*pooledConn, error) {
-	conn := &pooledConn{pool: p}
+func (p *connPool) dialConn(ctx context.Context, transport *http.Transport, lifetime withholder.Lifetime) (*pooledConn, error) {
+	conn := &pooledConn{pool: p, lifetime: lifetime}
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
 	clientConn, err := transport.NewClientConn(context.WithValue(ctx, pooledConnKey{}, conn), "http", p.server.String())
--- a/internal/call/sender/probe.go
+++ b/internal/call/sender/probe.go
@@ -5,18 +5,23 @@
 	"io"
 	"net/http"
 	"net/netip"
+	"time"
 
 	"github.com/pkg/errors"
 
 	"sardinelever.example/sardinelever/internal/call/translator"
+	"sardinelever.example/sardinelever/internal/route/withholder"
 )
 
 // ProbeServer requests the load endpoint of a backend server at path and returns
 // the metadata of the response. It uses a connection of the pool for calls, whose
-// size over all instances is connections.
-func (s *Sender) ProbeServer(ctx context.Context, server netip.AddrPort, path string, connections int) (translator.ResponseMetadata, error) {
+// size over all instances is connections. The error wraps ErrWithheld, and nothing is
+// sent, while the server with the given lifetime is withheld.
+func (s *Sender) ProbeServer(ctx context.Context, server netip.AddrPort, lifetime withholder.Lifetime, path string, connections int) (translator.ResponseMetadata, error) {
 	pool := s.serverPool(server)
-	conn, err := pool.acquireConn(ctx, s.transport, maxIdleTime, s.connectionLimit(connections))
+	conn, err := pool.acquireConn(ctx, s.transport, connRequest{
+		lifetime: lifetime, maxIdle: maxIdleTime, limit: s.connectionLimit(connections), withholder: s.Withholder,
+	})
 	if err != nil {
 		return translator.ResponseMetadata{}, errors.Wrap(err, "probe")
 	}
@@ -36,7 +41,15 @@
 		return translator.ResponseMetadata{}, errors.Wrap(err, "probe")
 	}
 	metadata := s.dialect().ParseResponse(resp.StatusCode, resp.Header)
-	if metadata.RequestID != "" {
+	late := metadata.RequestID != ""
+	if metadata.Leaving {
+		source := withholder.FromProbe
+		if late {
+			source = withholder.FromLate
+		}
+		s.Withholder.RecordLeaving(time.Now(), conn.lifetime, source)
+	}
+	if late {
 		_ = conn.Close()
 		return translator.ResponseMetadata{}, errors.New("probe: late response to a call")
 	}
--- a/internal/call/sender/sender.go
+++ b/internal/call/sender/sender.go
@@ -14,12 +14,16 @@
 	"sardinelever.example/sardinelever/internal/call/classifier"
 	"sardinelever.example/sardinelever/internal/call/translator"
 	"sardinelever.example/sardinelever/internal/config/parser"
+	"sardinelever.example/sardinelever/internal/route/withholder"
 )
 
 // Sender sends calls to backend servers. The zero value is ready to use.
 type Sender struct {
 	InstanceCount func() int         // Returns the number of instances that receive calls; nil means 1.
 	Dialect       translator.Dialect // nil means translator.Native.
+	// Withholder receives what the responses state about their backend servers, and
+	// decides whether a call may be written. nil allows every call.
+	Withholder *withholder.Withholder
 
 	mu             sync.Mutex
 	pools          map[netip.AddrPort]*connPool
@@ -34,10 +38,11 @@
 	Request          *http.Request // Request of the caller; it is not changed.
 	Body             io.ReadCloser // Replaces the body of Request.
 	Server           netip.AddrPort
-	ServerName       string // Name of the only backend server that may run the call; empty means any at Server.
-	Number           int    // Number of the attempt, from 1.
-	RetryBudget      int    // Extra attempts (retries and hedges) that the backend server and all calls below it may use.
-	RequireFreshConn bool   // Requires a connection that is new or was used within maxFreshIdleTime.
+	Lifetime         withholder.Lifetime // Lifetime of the backend server that the routing table lists at Server.
+	ServerName       string              // Name of the only backend server that may run the call; empty means any at Server.
+	Number           int                 // Number of the attempt, from 1.
+	RetryBudget      int                 // Extra attempts (retries and hedges) that the backend server and all calls below it may use.
+	RequireFreshConn bool                // Requires a connection that is new or was used within maxFreshIdleTime.
 	// AllowResend allows a second send to the same backend server when the
 	// connection of the first is silent. It requires an idempotent call without
 	// a body.
@@ -111,8 +116,13 @@
 // runExchange sends the call once and returns the response or why there is none.
 func (s *Sender) runExchange(ctx context.Context, x *exchange) (*http.Response, error) {
 	a, pool := x.attempt, x.pool
-	conn, err := pool.acquireConn(ctx, s.transport, x.maxIdle, s.connectionLimit(a.Call.Service.Connections))
-	if err != nil {
+	conn, err := pool.acquireConn(ctx, s.transport, connRequest{
+		lifetime: a.Lifetime, maxIdle: x.maxIdle, limit: s.connectionLimit(a.Call.Service.Connections), withholder: s.Withholder,
+	})
+	switch {
+	case errors.Is(err, ErrWithheld):
+		return nil, newFailure(ctx, Rejected, "withheld", err)
+	case err != nil:
 		return nil, newFailure(ctx, Rejected, "connect", err)
 	}
 	reused, start := !conn.lastUsed.IsZero(), time.Now()
@@ -124,6 +134,11 @@
 		closedAsSilent = x.policy.startTimer(conn, x.firstByteTimeout).stop
 	}
 	resp, err := conn.RoundTrip(newBackendRequest(httptrace.WithClientTrace(ctx, forwarder.clientTrace()), s.dialect(), a))
+	var metadata translator.ResponseMetadata
+	if err == nil {
+		metadata = s.dialect().ParseResponse(resp.StatusCode, resp.Header)
+		s.recordStatements(conn.lifetime, &metadata, isForeign(a, &metadata, reused))
+	}
 	if closedAsSilent() && ctx.Err() == nil {
 		if err == nil {
 			_ = resp.Body.Close()
@@ -146,7 +161,7 @@
 		}
 		return nil, newFailure(ctx, Unknown, "read", err)
 	}
-	failure := s.checkResponse(a, resp, reused)
+	failure := checkResponse(a, resp.StatusCode, &metadata, reused)
 	if failure != nil && failure.Reason == foreignReason {
 		_ = conn.Close() // The response to this call may still arrive on it.
 		return resp, failure
@@ -161,18 +176,40 @@
 // foreignReason is the Reason of a Failure whose response belongs to another call.
 const foreignReason = "foreign"
 
-// checkResponse returns the failure that the status and the header of resp
-// state, or nil when resp is the response to the call. On a reused connection, a
+// isForeign reports whether the response with metadata m belongs to another call than
+// that of a.
+func isForeign(a *Attempt, m *translator.ResponseMetadata, reused bool) bool {
+	return m.RequestID != "" && m.RequestID != a.Call.RequestID || reused && m.Unnamed && a.Call.RequestID != ""
+}
+
+// recordStatements records what the response with metadata m states about its backend
+// server. Each response on a connection, also a late one, comes from the process with
+// the lifetime for which the connection was opened.
+func (s *Sender) recordStatements(lifetime withholder.Lifetime, m *translator.ResponseMetadata, foreign bool) {
+	if !m.Leaving {
+		return
+	}
+	source := withholder.FromRequest
+	switch {
+	case foreign:
+		source = withholder.FromLate
+	case m.Refused, m.Misdirected, m.UnprovenRefusal:
+		source = withholder.FromRefusal
+	}
+	s.Withholder.RecordLeaving(time.Now(), lifetime, source)
+}
+
+// checkResponse returns the failure that a response states, or nil when it is the
+// response to the call. On a reused connection, a
 // response without the ID of the call may be a late one to an earlier call or probe.
-func (s *Sender) checkResponse(a *Attempt, resp *http.Response, reused bool) *Failure {
-	metadata := s.dialect().ParseResponse(resp.StatusCode, resp.Header)
+func checkResponse(a *Attempt, statusCode int, metadata *translator.ResponseMetadata, reused bool) *Failure {
 	switch {
-	case metadata.RequestID != "" && metadata.RequestID != a.Call.RequestID, reused && metadata.Unnamed && a.Call.RequestID != "":
+	case isForeign(a, metadata, reused):
 		return &Failure{Outcome: Unknown, Reason: foreignReason, Err: errors.Errorf("response of backend server %s belongs to another call", a.Server)}
 	case metadata.Misdirected:
 		return &Failure{Outcome: Rejected, Reason: "moved", Err: errors.Errorf("backend server %s is no longer at address %s, which another one has", a.ServerName, a.Server)}
 	case metadata.UnprovenRefusal:
-		return &Failure{Outcome: Unknown, Reason: "unproven", Err: errors.Errorf("backend server %s answered %d without proof that it did not run the call", a.Server, resp.StatusCode)}
+		return &Failure{Outcome: Unknown, Reason: "unproven", Err: errors.Errorf("backend server %s answered %d without proof that it did not run the call", a.Server, statusCode)}
 	case metadata.Refused:
 		return &Failure{Outcome: Rejected, Reason: "refused", Err: errors.Errorf("backend server %s refused the call", a.Server)}
 	}
--- a/internal/call/translator/dialect.go
+++ b/internal/call/translator/dialect.go
@@ -64,7 +64,8 @@
 	// Unnamed is set when backend servers return the RequestID with each response,
 	// and this response has none.
 	Unnamed      bool
-	Draining     bool          // The backend server asks for no new calls.
+	Draining     bool          // The backend server asks for no new calls; a probe without the signal ends this.
+	Leaving      bool          // The process of the backend server gets no calls any more; nothing ends this.
 	RunningCalls int           // Calls that run on the backend server; -1 when unknown.
 	WaitingCalls int           // Calls that wait on the backend server.
 	Slowdown     float64       // Time that work takes now on the backend server, relative to its usual time; 0 when unknown.
--- a/internal/call/translator/doc.go
+++ b/internal/call/translator/doc.go
@@ -12,6 +12,7 @@
 //	Sardine-Id        idempotency key; Idempotency-Key is read without it
 //	Sardine-Load      calls that run on the backend server, then "/" and further text
 //	Sardine-Drain     "1" when the backend server asks for no new calls
+//	Sardine-Leaving   "1" when the process of the backend server gets no calls any more
 //	Sardine-Refused   "1" when the backend server did not run the call (status 503)
 //	Sardine-Outcome   rejected, unknown or failed, to the caller
 //	Sardine-Reason    reason of the outcome in one word, to the caller
--- a/internal/call/translator/native.go
+++ b/internal/call/translator/native.go
@@ -95,11 +95,11 @@
 	}
 }
 
-// ParseResponse returns refusal, drain and running calls from the Sardine- headers.
+// ParseResponse returns refusal, drain, leaving and running calls from the Sardine- headers.
 func (Native) ParseResponse(status int, h http.Header) ResponseMetadata {
 	m := ResponseMetadata{
 		Refused:  status == http.StatusServiceUnavailable && h.Get("Sardine-Refused") == "1",
-		Draining: h.Get("Sardine-Drain") == "1", RunningCalls: -1,
+		Draining: h.Get("Sardine-Drain") == "1", Leaving: h.Get("Sardine-Leaving") == "1", RunningCalls: -1,
 	}
 	running, _, _ := strings.Cut(h.Get("Sardine-Load"), "/")
 	if n, err := strconv.Atoi(running); err == nil && n >= 0 {
@@ -111,7 +111,7 @@
 // internalHeaders are removed from the response of a backend server: headers that
 // are meant for this instance only, and headers that only an instance may set.
 var internalHeaders = []string{
-	"Sardine-Load", "Sardine-Drain", "Sardine-Refused", "Sardine-Outcome", "Sardine-Reason", "Sardine-Instance",
+	"Sardine-Load", "Sardine-Drain", "Sardine-Leaving", "Sardine-Refused", "Sardine-Outcome", "Sardine-Reason", "Sardine-Instance",
 }
 
 // SetResponseHeaders removes internalHeaders and adds the name of the instance and,
--- a/internal/instance/runner/active_call.go
+++ b/internal/instance/runner/active_call.go
@@ -14,6 +14,8 @@
 	"sardinelever.example/sardinelever/internal/call/retrier"
 	"sardinelever.example/sardinelever/internal/call/sender"
 	"sardinelever.example/sardinelever/internal/route/acquirer"
+	"sardinelever.example/sardinelever/internal/route/router"
+	"sardinelever.example/sardinelever/internal/route/withholder"
 )
 
 // activeCall is a call of a caller in progress; it makes the attempts of the call.
@@ -33,9 +35,21 @@
 // be read only once, so a request that has them is not sent again.
 func (a *activeCall) canReplay() bool { return a.body.CanReplay() && len(a.r.Trailer) == 0 }
 
-// sendAttempt acquires a slot and makes one attempt at its backend server. It keeps a
-// response that shouldRetryResponse rejects as the fallback and returns a failure.
+// sendAttempt makes one attempt. A server that turned out to be withheld before
+// anything was sent does not count as an attempt, and the next one is chosen.
 func (a *activeCall) sendAttempt(ctx context.Context, attempt *retrier.Attempt) (*serverResponse, error) {
+	for {
+		response, err := a.sendToServer(ctx, attempt)
+		var f *sender.Failure
+		if ctx.Err() != nil || !errors.As(err, &f) || f.Outcome != sender.Rejected || !errors.Is(err, sender.ErrWithheld) {
+			return response, err
+		}
+	}
+}
+
+// sendToServer acquires a slot and sends the call to its backend server. It keeps a
+// response that shouldRetryResponse rejects as the fallback and returns a failure.
+func (a *activeCall) sendToServer(ctx context.Context, attempt *retrier.Attempt) (*serverResponse, error) {
 	c := a.call
 	req := acquirer.Request{Service: c.Service.Name, Rank: c.Rank, Route: c.RouteName, Deadline: c.Deadline, Target: c.TargetTime, Avoid: attempt.UsedServers()}
 	start := time.Now()
@@ -46,8 +60,8 @@
 	}
 	a.countAttempt(attempt.Number, time.Since(start))
 	attempt.AddServer(slot.Server)
-	name, known := a.findServer(slot.Server)
-	if !known {
+	server := a.findServer(slot.Server)
+	if server == nil {
 		slot.Release(acquirer.Result{ReportedCalls: -1, Failed: true, Unanswered: true})
 		return nil, &sender.Failure{Outcome: sender.Rejected, Reason: "moved", Err: errors.Errorf("no backend server is known at %s", slot.Server)}
 	}
@@ -56,8 +70,9 @@
 		slot.Release(acquirer.Result{ReportedCalls: -1})
 		return nil, errors.New("the body cannot be sent again")
 	}
+	name := a.expectedName(server)
 	outgoing := &sender.Attempt{
-		Call: c, Request: a.r, Body: body, Server: slot.Server, ServerName: name, Number: c.Attempt + attempt.Number - 1,
+		Call: c, Request: a.r, Body: body, Server: slot.Server, Lifetime: withholder.LifetimeOf(server), ServerName: name, Number: c.Attempt + attempt.Number - 1,
 		RetryBudget: attempt.Budget, ForwardInformational: a.forwardInformational,
 		// Only the first attempt of a call that can be hedged may use a connection
 		// that has been idle for long and could be dead.
@@ -87,7 +102,11 @@
 	if resp != nil {
 		_ = resp.Body.Close()
 	}
-	slot.Release(result)
+	if errors.Is(err, sender.ErrWithheld) {
+		slot.Abandon()
+	} else {
+		slot.Release(result)
+	}
 	return nil, err
 }
 
@@ -158,22 +177,22 @@
 	return result
 }
 
-// findServer returns the name of the backend server of the call's service at addr.
-// The result known is false when the service no longer has a server there, so that
+// findServer returns the backend server of the call's service at addr, preferably one
+// that is not leaving, or nil when the service no longer has a server there, so that
 // the call must not be sent. A call that matches no rule (Call.Rule) may run on any
-// server at addr; its name is empty then.
-func (a *activeCall) findServer(addr netip.AddrPort) (name string, known bool) {
-	if a.call.Rule == nil {
-		return "", true
+// server at addr, also on one that is no longer listed.
+func (a *activeCall) findServer(addr netip.AddrPort) *router.BackendServer {
+	if b := a.routingTable.Load().FindServer(a.call.Service.Name, addr); b != nil || a.call.Rule != nil {
+		return b
 	}
-	s := a.routingTable.Load().Services[a.call.Service.Name]
-	if s == nil {
-		return "", false
-	}
-	for i := range s.Servers {
-		if s.Servers[i].Address == addr {
-			return s.Servers[i].Name, true
-		}
+	return &router.BackendServer{Address: addr}
+}
+
+// expectedName returns the name of the only backend server that may run the call, or ""
+// when the call matches no rule, so that any server at its address may.
+func (a *activeCall) expectedName(b *router.BackendServer) string {
+	if a.call.Rule == nil {
+		return ""
 	}
-	return "", false
+	return b.Name
 }
--- a/internal/instance/runner/adapters.go
+++ b/internal/instance/runner/adapters.go
@@ -7,7 +7,10 @@
 	"slices"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"sardinelever.example/sardinelever/internal/call/retrier"
+	"sardinelever.example/sardinelever/internal/call/sender"
 	"sardinelever.example/sardinelever/internal/fleet/connector"
 	"sardinelever.example/sardinelever/internal/fleet/hasher"
 	"sardinelever.example/sardinelever/internal/fleet/messenger"
@@ -18,6 +21,7 @@
 	"sardinelever.example/sardinelever/internal/route/allocator"
 	"sardinelever.example/sardinelever/internal/route/prober"
 	"sardinelever.example/sardinelever/internal/route/tracker"
+	"sardinelever.example/sardinelever/internal/route/withholder"
 )
 
 // configWatchersPerZone is the number of instances of an availability zone that
@@ -87,6 +91,10 @@
 // retransmission timeout of TCP.
 const onDemandProbeTimeout = 150 * time.Millisecond
 
+// withheldProbeInterval is the time between checks whether a backend server that wants
+// no calls may be probed. It is the shortest backoff after a failed probe.
+const withheldProbeInterval = 200 * time.Millisecond
+
 // onDemandProbe is a probe of a backend server that the allocator of this instance
 // has requested.
 type onDemandProbe struct {
@@ -103,14 +111,20 @@
 
 func (o onDemandProbe) run() {
 	defer recoverer.Catch("probe", nil)
-	service := o.routingTable.Load().Services[o.service]
-	if service == nil {
+	table := o.routingTable.Load()
+	service, server := table.Services[o.service], table.FindServer(o.service, o.server)
+	if service == nil || server == nil {
 		return
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), onDemandProbeTimeout)
 	defer cancel()
 	start := time.Now()
-	signals, err := o.handler.sender.ProbeServer(ctx, o.server, service.Probe.Path, service.Connections)
+	signals, err := o.handler.sender.ProbeServer(ctx, o.server, withholder.LifetimeOf(server), service.Probe.Path, service.Connections)
+	if errors.Is(err, sender.ErrWithheld) {
+		time.Sleep(withheldProbeInterval) // The allocator requests the next probe at once.
+		o.allocator.RecordProbe(o.service, o.server, tracker.ProbeResult{Unsent: true})
+		return
+	}
 	result := tracker.Result{Failed: err != nil, ReportedCalls: -1, Latency: time.Since(start)}
 	if err == nil {
 		result.ReportedCalls, result.Slowdown = signals.ReportedCalls(), signals.Slowdown
@@ -147,11 +161,25 @@
 // probe of it unnecessary.
 const maxExchangeAge = time.Second
 
-// isServerIdle reports whether this instance has had no recent exchange with server.
-func (c *components) isServerIdle(_ string, server netip.AddrPort) bool {
+// isServerIdle reports whether a probe of server is allowed and this instance has had no
+// recent exchange with it.
+func (c *components) isServerIdle(service string, server netip.AddrPort) bool {
+	if c.withholder.IsWithheld(time.Now(), c.findLifetime(service, server)) {
+		return false
+	}
 	return !c.handler.sender.HasRecentExchange(server, maxExchangeAge)
 }
 
+// findLifetime returns the lifetime of the backend server of service at addr, or the
+// zero value if none is listed there.
+func (c *components) findLifetime(service string, addr netip.AddrPort) withholder.Lifetime {
+	b := c.routingTable.Load().FindServer(service, addr)
+	if b == nil {
+		return withholder.Lifetime{}
+	}
+	return withholder.LifetimeOf(b)
+}
+
 // deliverProbeResult gives a probe result to the allocator of this instance and to
 // the home of the backend server's pool.
 func (c *components) deliverProbeResult(result prober.Result) {
@@ -160,6 +188,9 @@
 		return
 	}
 	c.allocator.RecordProbe(result.Service, result.Server, trackerResult(result))
+	if result.Leaving {
+		c.withholder.RecordLeaving(time.Now(), result.Lifetime, withholder.FromProbe)
+	}
 	for i := range s.Servers {
 		if s.Servers[i].Address == result.Server {
 			k := allocator.PoolKeyOf(s, &s.Servers[i])
@@ -204,12 +235,14 @@
 	if err != nil {
 		return
 	}
-	_ = messenger.WriteMessage(conn, &messenger.Control{Kind: &messenger.Control_Figures{Figures: &messenger.Figures{
-		Figures: []*messenger.Figure{{
-			Service: result.Service, Server: server, Age: result.Age.Nanoseconds(), Latency: result.Latency.Nanoseconds(),
-			Busy: int32(result.ReportedCalls), Failed: result.Failed, Drain: result.Drain,
-		}},
-	}}})
+	figure := &messenger.Figure{
+		Service: result.Service, Server: server, Age: result.Age.Nanoseconds(), Latency: result.Latency.Nanoseconds(),
+		Busy: int32(result.ReportedCalls), Failed: result.Failed, Drain: result.Drain,
+	}
+	if result.Leaving {
+		figure.Leaving = &messenger.Leaving{Server: result.Lifetime.Name, Born: result.Lifetime.ProcessStart}
+	}
+	_ = messenger.WriteMessage(conn, &messenger.Control{Kind: &messenger.Control_Figures{Figures: &messenger.Figures{Figures: []*messenger.Figure{figure}}}})
 }
 
 // probeResultHandler receives the probe results that other instances send to this
@@ -217,12 +250,15 @@
 type probeResultHandler struct{ *components }
 
 // HandleMessage records the probe results of a message of kind Figures.
-func (r probeResultHandler) HandleMessage(_ connector.Hello, m *messenger.Control, _ func(*messenger.Control) error) {
+func (r probeResultHandler) HandleMessage(from connector.Hello, m *messenger.Control, _ func(*messenger.Control) error) {
 	for _, f := range m.GetFigures().GetFigures() {
 		var server netip.AddrPort
 		if err := server.UnmarshalBinary(f.Server); err != nil {
 			continue
 		}
+		if l := f.Leaving; l != nil {
+			r.withholder.RecordLeaving(time.Now(), withholder.Lifetime{Name: l.Server, ProcessStart: l.Born}, withholder.FromInstance(from.Name))
+		}
 		r.allocator.RecordProbe(f.Service, server, tracker.ProbeResult{
 			Result: tracker.Result{Failed: f.Failed, Drain: f.Drain, Latency: time.Duration(f.Latency), ReportedCalls: int(f.Busy)},
 			Age:    max(time.Duration(f.Age), 0),
--- a/internal/instance/runner/components.go
+++ b/internal/instance/runner/components.go
@@ -26,6 +26,7 @@
 	"sardinelever.example/sardinelever/internal/route/allocator"
 	"sardinelever.example/sardinelever/internal/route/prober"
 	"sardinelever.example/sardinelever/internal/route/router"
+	"sardinelever.example/sardinelever/internal/route/withholder"
 )
 
 // components holds the components of an instance, which newComponents connects.
@@ -41,6 +42,7 @@
 
 	routingTable   router.TableHolder
 	rebuildMu      sync.Mutex // Serializes updates of routingTable.
+	withholder     withholder.Withholder
 	audit          auditor.Trail
 	bundleStore    keeper.BundleStore
 	pauseDetector  detector.PauseDetector
@@ -65,6 +67,7 @@
 	c.metrics = meter.RegisterMetrics(c.metricsRegistry)
 	c.audit.Log = l
 	c.bundleStore.Audit = &c.audit
+	c.withholder.Audit, c.withholder.Metrics, c.withholder.OnOwnLeaving = &c.audit, c.metrics, c.slotClient.AnnounceLeaving
 	c.pauseDetector.OnPause = c.dropStaleData
 	c.initPlatform()
 	c.initFleet()
@@ -122,16 +125,16 @@
 
 func (c *components) initRouting() {
 	s := c.settings
-	c.allocator = allocator.Allocator{RoutingTable: &c.routingTable, Audit: &c.audit}
+	c.allocator = allocator.Allocator{RoutingTable: &c.routingTable, Audit: &c.audit, Withholder: &c.withholder}
 	if c.platform != nil {
 		c.allocator.StartProbe = c.startProbe
 	}
 	c.slotClient = acquirer.Client{
 		RoutingTable: &c.routingTable, Name: s.Name, Zone: s.Zone, Region: s.Region,
-		Allocator: &c.allocator, Fleet: &c.members, StreamOpener: &c.connector, Policy: slotPolicies[s.Policy],
+		Allocator: &c.allocator, Fleet: &c.members, StreamOpener: &c.connector, Policy: slotPolicies[s.Policy], Withholder: &c.withholder,
 		NoSlotReuse: c.platform != nil, // A slot kept from an earlier call would be used without a recent load report of its server.
 	}
-	c.prober = prober.Prober{InstanceName: s.Name, CurrentView: c.currentProbeView, IsIdle: c.isServerIdle, ReportResult: c.deliverProbeResult, Log: c.log}
+	c.prober = prober.Prober{InstanceName: s.Name, CurrentView: c.currentProbeView, IsIdle: c.isServerIdle, FindLifetime: c.findLifetime, ReportResult: c.deliverProbeResult, Log: c.log}
 }
 
 // slotPolicies maps the values of the setting policy. The empty value means grant.
@@ -142,7 +145,7 @@
 func (c *components) initCallHandler() {
 	c.handler.routingTable, c.handler.slots, c.handler.metrics, c.handler.checkPause = &c.routingTable, &c.slotClient, c.metrics, c.pauseDetector.CheckPause
 	c.handler.responder.Instance, c.handler.log, c.handler.isConfigCurrent = c.settings.Name, c.log, c.isConfigCurrent
-	c.handler.sender.InstanceCount = c.fleetSize
+	c.handler.sender.InstanceCount, c.handler.sender.Withholder = c.fleetSize, &c.withholder
 	if c.platform != nil {
 		c.handler.responder.Dialect, c.handler.sender.Dialect = c.platform.Dialect, c.platform.Dialect
 		c.handler.retrier.Limit = c.retryLimit
@@ -160,7 +163,7 @@
 // backgroundTasks returns the functions that run until the instance stops.
 func (c *components) backgroundTasks() []func(context.Context) error {
 	common := []func(context.Context) error{
-		c.pauseDetector.Run, c.connector.Run, c.members.Run, c.distributor.Run, c.allocator.Run, c.slotClient.Run, c.maintainRoutingTable,
+		c.pauseDetector.Run, c.connector.Run, c.members.Run, c.distributor.Run, c.allocator.Run, c.slotClient.Run, c.maintainRoutingTable, c.applyStatements,
 	}
 	if c.platform != nil {
 		return append(common, c.recordWatcher.Run)
@@ -168,6 +171,22 @@
 	return append(common, c.listFollower.Run, c.configFollower.Run, c.prober.Run, c.deduper.Run)
 }
 
+// applyStatements rebuilds the routing table whenever a backend server has stated that
+// it is leaving, until ctx is done.
+func (c *components) applyStatements(ctx context.Context) error {
+	changed := c.withholder.Changed()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-changed:
+		}
+		changed = c.withholder.Changed() // A later change is not missed.
+		c.rebuildRoutingTable()
+		c.allocator.ApplyTable()
+	}
+}
+
 // listCheckInterval is the interval of checks for a new list, and so the longest
 // time until a list takes effect.
 const listCheckInterval = 50 * time.Millisecond
@@ -229,6 +248,7 @@
 	defer c.rebuildMu.Unlock()
 	b, _ := c.bundleStore.CurrentBundle()
 	table := router.NewRoutingTable(b, c.currentList())
+	c.withholder.MarkLeaving(time.Now(), table)
 	c.routingTable.Store(table)
 	servers := make(map[netip.AddrPort]bool)
 	for _, s := range table.Services {
--- a/internal/instance/runner/endless_many_test.go
+++ b/internal/instance/runner/endless_many_test.go
@@ -15,6 +15,7 @@
 	"sardinelever.example/sardinelever/internal/call/sender"
 	"sardinelever.example/sardinelever/internal/config/parser"
 	"sardinelever.example/sardinelever/internal/platform/reader"
+	"sardinelever.example/sardinelever/internal/route/withholder"
 )
 
 // slowReader is a caller that reads the first bytes of an answer and then no more until
@@ -123,7 +124,7 @@
 			ctx, cancel := context.WithTimeout(t.Context(), 500*time.Millisecond)
 			defer cancel()
 			var probes sender.Sender
-			_, _ = probes.ProbeServer(ctx, s.Addr().(*net.TCPAddr).AddrPort(), "/load", 10)
+			_, _ = probes.ProbeServer(ctx, s.Addr().(*net.TCPAddr).AddrPort(), withholder.Lifetime{}, "/load", 10)
 			select {
 			case <-s.closed:
 			case <-time.After(20 * time.Second):
--- a/internal/operator/meter/metrics.go
+++ b/internal/operator/meter/metrics.go
@@ -15,6 +15,7 @@
 	Attempts        *prometheus.CounterVec   // Attempts that got a slot, by service and kind: first, or again for a retry or hedge.
 	SlotWaitSeconds *prometheus.HistogramVec // Time that an attempt waited for a slot, by service and rank.
 	Refusals        *prometheus.CounterVec   // Requests that were refused before they had a service, by reason.
+	LeavingSigns    *prometheus.CounterVec   // Processes of backend servers that became known to be leaving, by source.
 }
 
 // RegisterMetrics creates the metrics and registers them in r, together with the
@@ -32,11 +33,14 @@
 		Refusals: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "sardinelever_refusals_total", Help: "Requests that were refused before they had a service, by reason.",
 		}, []string{"reason"}),
+		LeavingSigns: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "sardinelever_leaving_total", Help: "Backend servers that stated that they are leaving, by source: request, refusal, late, probe, instance.",
+		}, []string{"source"}),
 	}
 	panics := prometheus.NewCounterFunc(prometheus.CounterOpts{
 		Name: "sardinelever_panics_total", Help: "Panics that ended one call, stream or message.",
 	}, func() float64 { return float64(recoverer.Count()) })
-	r.MustRegister(panics, m.Calls, m.CallSeconds, m.Attempts, m.SlotWaitSeconds, m.Refusals,
+	r.MustRegister(panics, m.Calls, m.CallSeconds, m.Attempts, m.SlotWaitSeconds, m.Refusals, m.LeavingSigns,
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	return m
 }
--- a/internal/route/acquirer/acquisition.go
+++ b/internal/route/acquirer/acquisition.go
@@ -112,8 +112,15 @@
 	a.askPool(first)
 	t := time.NewTimer(min(replyTimeout, time.Until(a.request.Deadline)))
 	defer t.Stop()
+	statements := a.client.Withholder.Changed()
 	for {
 		select {
+		case <-statements:
+			if !a.hasUsableServer() {
+				a.closeAsks(nil)
+				return nil, &Refusal{Reason: allocator.ReasonNone, RetryAfter: time.Second}
+			}
+			statements = a.client.Withholder.Changed()
 		case <-a.wake:
 			if s, err := a.processReplies(); s != nil || err != nil {
 				return s, err
--- a/internal/route/acquirer/client.go
+++ b/internal/route/acquirer/client.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/netip"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -14,6 +15,7 @@
 	"sardinelever.example/sardinelever/internal/route/allocator"
 	"sardinelever.example/sardinelever/internal/route/router"
 	"sardinelever.example/sardinelever/internal/route/tracker"
+	"sardinelever.example/sardinelever/internal/route/withholder"
 )
 
 // Request describes the call for which a slot is requested.
@@ -64,6 +66,8 @@
 	StreamOpener StreamOpener         // nil means that this instance is the home of all pools.
 	Policy       Policy               // The zero value requests slots from homes; the others are baselines for measurements.
 	NoSlotReuse  bool                 // Requests a slot from a home for each call and keeps none between calls.
+	// Withholder says which backend servers get no calls of this instance. nil means none.
+	Withholder *withholder.Withholder
 
 	setupOnce  sync.Once
 	localHome  localHome
@@ -125,6 +129,21 @@
 	if req.Target.IsZero() {
 		req.Target = req.Deadline
 	}
+	for {
+		avoid := req.Avoid
+		req.Avoid = append(slices.Clip(avoid), c.withheldServers(req.Service)...)
+		s, err := c.acquireAnySlot(ctx, req)
+		if err != nil || !slices.Contains(c.withheldServers(req.Service), s.Server) {
+			return s, err
+		}
+		s.Abandon() // The home did not know yet, or the server was withheld after the offer.
+		req.Avoid = append(slices.Clip(avoid), s.Server)
+	}
+}
+
+// acquireAnySlot returns a kept slot or requests one from the homes. The slot may be that
+// of a server that has been withheld meanwhile.
+func (c *Client) acquireAnySlot(ctx context.Context, req Request) (*Slot, error) {
 	if c.Policy != GrantByHome {
 		return c.baseline.acquireSlot(c, req)
 	}
--- a/internal/route/acquirer/encoding.go
+++ b/internal/route/acquirer/encoding.go
@@ -7,6 +7,7 @@
 
 	"sardinelever.example/sardinelever/internal/fleet/messenger"
 	"sardinelever.example/sardinelever/internal/route/allocator"
+	"sardinelever.example/sardinelever/internal/route/withholder"
 )
 
 // errHomeSilent is the error of a stream on which a home sends no reply in time.
@@ -52,6 +53,10 @@
 	}}}
 }
 
+func encodeLeaving(l withholder.Lifetime) *messenger.Grant {
+	return &messenger.Grant{Kind: &messenger.Grant_Leaving{Leaving: &messenger.Leaving{Server: l.Name, Born: l.ProcessStart}}}
+}
+
 // decodeReply returns the reply in m; ok is false for a kind that this version does
 // not know.
 func decodeReply(m *messenger.Grant) (r allocator.Reply, ok bool, err error) {
--- a/internal/route/acquirer/grantstream.go
+++ b/internal/route/acquirer/grantstream.go
@@ -172,6 +172,7 @@
 	}
 	delete(g.asks, p.number)
 	delete(g.kept, p.number)
+	delete(g.slots, p.number)
 	g.outbox.Enqueue(&messenger.Grant{Kind: &messenger.Grant_Cancel{Cancel: &messenger.Cancel{Number: p.number}}})
 }
 
--- a/internal/route/acquirer/home.go
+++ b/internal/route/acquirer/home.go
@@ -15,7 +15,7 @@
 // longer be reached.
 type home interface {
 	sendAsk(p *poolAsk) bool
-	cancelAsk(p *poolAsk)
+	cancelAsk(p *poolAsk)    // Withdraws an ask, or gives its slot back without a result.
 	trackSlot(s *Slot) bool  // Records on this instance that a slot granted by the home is in use.
 	reportHeld(s *Slot) bool // Makes the home count a slot that another home granted.
 	reportDone(s *Slot, r Result)
@@ -44,7 +44,12 @@
 	return true
 }
 
-func (l *localHome) cancelAsk(p *poolAsk) { l.allocator.CancelRequest(p.pool.key, p.id()) }
+func (l *localHome) cancelAsk(p *poolAsk) {
+	l.mu.Lock()
+	delete(l.slots, p.number)
+	l.mu.Unlock()
+	l.allocator.CancelRequest(p.pool.key, p.id())
+}
 
 func (l *localHome) trackSlot(s *Slot) bool {
 	l.mu.Lock()
@@ -136,6 +141,7 @@
 		return g
 	}
 	g = newGrantStream(c, m)
+	g.announceKnownLeaving()
 	c.streams[m.Name] = g
 	go g.run()
 	return g
--- a/internal/route/allocator/allocator.go
+++ b/internal/route/allocator/allocator.go
@@ -10,6 +10,7 @@
 	"sardinelever.example/sardinelever/internal/operator/auditor"
 	"sardinelever.example/sardinelever/internal/route/router"
 	"sardinelever.example/sardinelever/internal/route/tracker"
+	"sardinelever.example/sardinelever/internal/route/withholder"
 )
 
 // Allocator makes this instance the home of the pools whose slots are requested
@@ -23,6 +24,9 @@
 	// block; its result is passed to RecordProbe. nil means that servers cannot
 	// be probed.
 	StartProbe func(service string, server netip.AddrPort)
+	// Withholder receives what entries report of leaving backend servers. RoutingTable
+	// then shows these servers as leaving. nil ignores the reports.
+	Withholder *withholder.Withholder
 
 	mu    sync.RWMutex
 	pools map[PoolKey]*poolWorker
@@ -111,6 +115,11 @@
 	al.sendToPools(nil, func() *command { return &command{op: opResetStaleMeasurements} })
 }
 
+// ApplyTable makes all pools apply the current routing table at once.
+func (al *Allocator) ApplyTable() {
+	al.sendToPools(nil, func() *command { return &command{op: opApplyTable} })
+}
+
 // close removes the queued requests and grants of owner from the pools in keys.
 func (al *Allocator) close(owner ReplyReceiver, keys map[PoolKey]bool) {
 	al.sendToPools(func(k PoolKey) bool { return keys[k] }, func() *command {
--- a/internal/route/allocator/session.go
+++ b/internal/route/allocator/session.go
@@ -14,11 +14,13 @@
 	"sardinelever.example/sardinelever/internal/config/parser"
 	"sardinelever.example/sardinelever/internal/fleet/messenger"
 	"sardinelever.example/sardinelever/internal/route/tracker"
+	"sardinelever.example/sardinelever/internal/route/withholder"
 )
 
 // session is the server side of the grant stream of one entry.
 type session struct {
 	allocator      *Allocator
+	from           string // Name of the entry.
 	outbox         Outbox
 	requestedPools map[PoolKey]bool // Pools from which the entry requested slots or to which it reported held ones.
 
@@ -31,7 +33,7 @@
 // ServeStream handles the grant stream of the entry named from until the stream
 // ends, then removes the queued requests and grants of the entry.
 func (al *Allocator) ServeStream(from string, conn net.Conn) {
-	s := &session{allocator: al, requestedPools: make(map[PoolKey]bool), pools: make(map[uint64]PoolKey)}
+	s := &session{allocator: al, from: from, requestedPools: make(map[PoolKey]bool), pools: make(map[uint64]PoolKey)}
 	var writer sync.WaitGroup
 	writer.Add(1)
 	go s.writeReplies(conn, &writer)
@@ -83,6 +85,8 @@
 		if key, ok := s.poolOf(k.Use.Number); ok {
 			s.allocator.UseKeptSlot(key, ID{s, k.Use.Number}, decodeRank(k.Use.Rank), now.Add(time.Duration(k.Use.Left)))
 		}
+	case *messenger.Grant_Leaving:
+		s.allocator.Withholder.RecordLeaving(now, withholder.Lifetime{Name: k.Leaving.Server, ProcessStart: k.Leaving.Born}, withholder.FromInstance(s.from))
 	}
 	// Other kinds are sent by newer versions and are ignored.
 	return nil
--- a/internal/route/allocator/worker.go
+++ b/internal/route/allocator/worker.go
@@ -24,6 +24,7 @@
 	opRecordProbe
 	opResetStaleMeasurements
 	opStatus
+	opApplyTable // Each command applies the table first; this one does nothing else.
 )
 
 // command is a message to the goroutine of a pool.
--- a/internal/route/prober/probe.go
+++ b/internal/route/prober/probe.go
@@ -14,6 +14,7 @@
 	"github.com/pkg/errors"
 
 	"sardinelever.example/sardinelever/internal/flow/sleeper"
+	"sardinelever.example/sardinelever/internal/route/withholder"
 )
 
 // maxResponseBytes bounds the number of bytes read of a response.
@@ -33,6 +34,10 @@
 	failed := probeOutcome{result: Result{Service: a.Service, Server: a.Server, ReportedCalls: -1, ReportedSlots: -1, Failed: true}}
 	dialCtx, cancel := context.WithDeadline(ctx, a.SendTime.Add(SendTolerance(a.Probe)))
 	defer cancel()
+	var lifetime withholder.Lifetime
+	if p.FindLifetime != nil {
+		lifetime = p.FindLifetime(a.Service, a.Server)
+	}
 	conn, err := p.Dial(dialCtx, a.Server)
 	if err != nil {
 		return failed
@@ -64,7 +69,8 @@
 	}
 	result := Result{
 		Service: a.Service, Server: a.Server, Age: took, Latency: took,
-		Failed: resp.StatusCode/100 != 2, Drain: resp.Header.Get("Sardine-Drain") == "1",
+		Failed: resp.StatusCode/100 != 2, Drain: resp.Header.Get("Sardine-Drain") == "1", Leaving: resp.Header.Get("Sardine-Leaving") == "1",
+		Lifetime: lifetime,
 	}
 	result.ReportedCalls, result.ReportedSlots = parseLoad(resp.Header.Get("Sardine-Load"))
 	return probeOutcome{result: result, probeTime: took}
--- a/internal/route/prober/prober.go
+++ b/internal/route/prober/prober.go
@@ -12,18 +12,21 @@
 	"golang.org/x/sync/semaphore"
 
 	"sardinelever.example/sardinelever/internal/flow/sleeper"
+	"sardinelever.example/sardinelever/internal/route/withholder"
 )
 
 // Result is the result of one probe.
 type Result struct {
 	Service       string
 	Server        netip.AddrPort
-	Age           time.Duration // Time since the probe was sent.
-	Latency       time.Duration // 0 when no response arrived.
-	ReportedCalls int           // Calls in flight by the server's load report; -1 when unknown.
-	ReportedSlots int           // Slots by the server's load report; -1 when unknown.
-	Failed        bool          // No connection, no response in time or a status other than 2xx.
-	Drain         bool          // The backend server asked for no new calls.
+	Age           time.Duration       // Time since the probe was sent.
+	Latency       time.Duration       // 0 when no response arrived.
+	ReportedCalls int                 // Calls in flight by the server's load report; -1 when unknown.
+	ReportedSlots int                 // Slots by the server's load report; -1 when unknown.
+	Failed        bool                // No connection, no response in time or a status other than 2xx.
+	Drain         bool                // The backend server asked for no new calls.
+	Leaving       bool                // The process of the backend server gets no calls any more.
+	Lifetime      withholder.Lifetime // Lifetime of the backend server when the connection was opened.
 }
 
 // Prober sends the probes that the schedule assigns to its instance. The exported
@@ -35,6 +38,8 @@
 	// IsIdle reports whether there are no recent results of calls to a server, so
 	// that a probe is useful. nil means that every server is idle.
 	IsIdle func(service string, server netip.AddrPort) bool
+	// FindLifetime returns the lifetime of a server; nil means that it is unknown.
+	FindLifetime func(service string, server netip.AddrPort) withholder.Lifetime
 	// ReportResult receives each result and must return quickly; nil drops the results.
 	ReportResult func(Result)
 	// Dial opens a connection to a server; nil means TCP.
--- a/internal/route/router/table.go
+++ b/internal/route/router/table.go
@@ -86,6 +86,22 @@
 	})
 }
 
+// FindServer returns the backend server of service at addr, preferably one that is not
+// leaving, or nil if there is none.
+func (t *RoutingTable) FindServer(service string, addr netip.AddrPort) *BackendServer {
+	s := t.Services[service]
+	if s == nil {
+		return nil
+	}
+	var found *BackendServer
+	for i := range s.Servers {
+		if b := &s.Servers[i]; b.Address == addr && (found == nil || found.Leaving && !b.Leaving) {
+			found = b
+		}
+	}
+	return found
+}
+
 // TableHolder holds the current routing table for concurrent use. The zero value holds an empty table.
 type TableHolder struct{ current atomic.Pointer[RoutingTable] }
 
--- a/internal/route/tracker/pool.go
+++ b/internal/route/tracker/pool.go
@@ -120,6 +120,10 @@
 // RecordProbeResult records the result of a probe. Its load report dates from the
 // time at which the probe was sent.
 func (p *Pool) RecordProbeResult(now time.Time, s *Server, r ProbeResult) {
+	if r.Unsent {
+		s.probeSentAt = time.Time{}
+		return
+	}
 	sentAt := now.Add(-r.Age)
 	s.updateLoad(sentAt, r.ReportedCalls, s.inFlight)
 	s.updateSlowdown(sentAt, r.Slowdown)
--- a/internal/route/tracker/server.go
+++ b/internal/route/tracker/server.go
@@ -38,7 +38,8 @@
 // ProbeResult is the result of a probe.
 type ProbeResult struct {
 	Result
-	Age time.Duration // Time since the probe was sent.
+	Age    time.Duration // Time since the probe was sent.
+	Unsent bool          // No probe was sent, so nothing is known and another may start.
 }
 
 // resultCounts holds the number of results and failures in one half of the failure window.
--- a/internal/route/withholder/withholder.go
+++ b/internal/route/withholder/withholder.go
@@ -1,6 +1,7 @@
 package withholder
 
 import (
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -35,12 +36,25 @@
 // FromInstance returns the source for a message of the named instance.
 func FromInstance(name string) Source { return Source(instancePrefix + name) }
 
+func (s Source) isInstance() bool { return strings.HasPrefix(string(s), instancePrefix) }
+
+// kind returns the source without the name of an instance.
+func (s Source) kind() string {
+	if s.isInstance() {
+		return strings.TrimSpace(instancePrefix)
+	}
+	return string(s)
+}
+
 // Withholder holds the statements of all backend servers. Its methods are safe for
 // concurrent use; those of a nil *Withholder know of no statement. The exported fields
 // are set before the first call.
 type Withholder struct {
 	Audit   *auditor.Trail
 	Metrics *meter.Metrics // nil means that nothing is counted.
+	// OnOwnLeaving is called for each lifetime that has told this instance itself that
+	// it is leaving; it must not block. It may be nil.
+	OnOwnLeaving func(Lifetime)
 
 	count   atomic.Int64 // Number of servers; lets IsWithheld skip the lock while there is none.
 	mu      sync.Mutex
@@ -56,19 +70,22 @@
 
 const (
 	// unlistedRetention is how long a statement is kept of a lifetime that the platform
-	// does not list. It exceeds the time for which a store in disturbance may list a
-	// server again.
-	unlistedRetention = 15 * time.Minute
+	// does not list. It exceeds the time for which a process that stops, or a copy of the
+	// store that lists it again, is to be expected.
+	unlistedRetention = 24 * time.Hour
 	// maxServers bounds the memory, at about 100 bytes for each lifetime.
 	maxServers = 1 << 14
 )
 
+// HasStatements reports whether any statement is known.
+func (w *Withholder) HasStatements() bool { return w != nil && w.count.Load() > 0 }
+
 // IsWithheld reports whether no call and no probe may start at l now.
 func (w *Withholder) IsWithheld(_ time.Time, l Lifetime) bool { return w.IsLeaving(l) }
 
 // IsLeaving reports whether l has stated that it is leaving.
 func (w *Withholder) IsLeaving(l Lifetime) bool {
-	if w == nil || w.count.Load() == 0 {
+	if !w.HasStatements() {
 		return false
 	}
 	w.mu.Lock()
@@ -92,6 +109,9 @@
 	}
 	w.mu.Unlock()
 	if changed {
+		if w.OnOwnLeaving != nil && !source.isInstance() {
+			w.OnOwnLeaving(l)
+		}
 		w.report(now, l, source)
 	}
 	return changed
@@ -150,7 +170,7 @@
 
 // LeavingLifetimes returns all lifetimes that have stated that they are leaving.
 func (w *Withholder) LeavingLifetimes() []Lifetime {
-	if w == nil || w.count.Load() == 0 {
+	if !w.HasStatements() {
 		return nil
 	}
 	w.mu.Lock()
@@ -168,7 +188,7 @@
 // leaving. It must be called before t is in use. It also drops statements of
 // lifetimes that have not been listed for long.
 func (w *Withholder) MarkLeaving(now time.Time, t *router.RoutingTable) {
-	if w == nil || w.count.Load() == 0 {
+	if !w.HasStatements() {
 		return
 	}
 	w.mu.Lock()
@@ -182,7 +202,9 @@
 		}
 	}
 	for l, s := range w.servers {
-		if now.Sub(s.listedAt) > unlistedRetention {
+		// Without a start, a later process has the same lifetime, so its absence from
+		// the list is the only sign of the end.
+		if unlisted := now.Sub(s.listedAt); unlisted > unlistedRetention || unlisted > 0 && l.ProcessStart == 0 {
 			delete(w.servers, l)
 		}
 	}
@@ -195,4 +217,7 @@
 		Time: now, Component: "route", Subject: l.Name, Cause: "statement of the server: " + string(source),
 		Before: "not withheld", After: "leaving",
 	})
+	if w.Metrics != nil {
+		w.Metrics.LeavingSigns.WithLabelValues(source.kind()).Inc()
+	}
 }
--- a/internal/standin/worker/server.go
+++ b/internal/standin/worker/server.go
@@ -37,6 +37,7 @@
 	RunCounter        *RunCounter          // Shared by all backend servers of a trial; may be nil.
 
 	Draining      atomic.Bool                    // Sheds every call and sends Sardine-Drain with every response.
+	Leaving       atomic.Bool                    // Sends Sardine-Leaving with every response.
 	Failing       atomic.Bool                    // Answers every call at once with status 500.
 	ReportNoLoad  atomic.Bool                    // Reports a load of 0 calls whatever the actual load is.
 	ServedCalls   atomic.Int64                   // Calls that ran to their end.
@@ -244,6 +245,9 @@
 		load = 0
 	}
 	w.Header().Set("Sardine-Load", fmt.Sprintf("%d/%d", load, s.Slots))
+	if s.Leaving.Load() {
+		w.Header().Set("Sardine-Leaving", "1")
+	}
 	if s.Draining.Load() {
 		w.Header().Set("Sardine-Drain", "1")
 		s.firstDrainNanos.CompareAndSwap(0, time.Now().UnixNano())
