Reset callers of HTTP/1.0 when a response breaks off

What callers saw: a caller that speaks HTTP/1.0 got "200 OK" with an empty or short body that looked whole when the backend server broke off a response in chunks, or reset one without a length.

Cause: the instance showed a response that broke off by closing the caller's connection. HTTP/1.1 has the missing last chunk and HTTP/2 the reset of the stream; for HTTP/1.0 a response without a length ends with its connection, so that close was the regular end. Class: an abort is shown by the lack of a mark that the protocol in use doesn't have.

Change: the abort resets the connection of a caller below HTTP/1.1.

--- a/internal/call/deduper/deduper_test.go
+++ b/internal/call/deduper/deduper_test.go
@@ -1,7 +1,9 @@
 package deduper_test
 
 import (
+	"bufio"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -10,6 +12,7 @@
 	"strings"
 	"sync/atomic"
 	"testing"
+	"testing/iotest"
 	"time"
 
 	"github.com/google/uuid"
@@ -199,6 +202,61 @@
 	}
 }
 
+// TestCutResponse guards against a response that broke off at one instance, is complete
+// for the caller of another one, over any version of HTTP/1, or is kept for repeats.
+func TestCutResponse(t *testing.T) {
+	for _, length := range []int64{-1, 10} {
+		f := startFleet(t, func(w http.ResponseWriter, r *http.Request) bool {
+			body := io.MultiReader(strings.NewReader("part"), iotest.ErrReader(errors.New("cut")))
+			responder.RelayResponse(w, r, &http.Response{StatusCode: http.StatusOK, ContentLength: length, Body: io.NopCloser(body), Header: make(http.Header)})
+			return true
+		})
+		for _, at := range []netip.AddrPort{one, two} {
+			for _, protocol := range []string{"HTTP/1.0", "HTTP/1.1"} {
+				f.checkCutResponse(t, at, protocol)
+			}
+		}
+	}
+}
+
+// checkCutResponse sends a call whose response breaks off to the instance at, and then
+// repeats it.
+func (f *stubFleet) checkCutResponse(t *testing.T, at netip.AddrPort, protocol string) {
+	t.Helper()
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { f.instances[at].handle(w, r, false) }))
+	defer s.Close()
+	key, before := newUUIDKey(), f.runs()
+	if got, err := sendRaw(s.Listener.Addr().String(), protocol, key); err == nil && !strings.HasPrefix(got, "502 ") {
+		t.Errorf("%s at %s: got %q without an error, want an error or 502", protocol, at, got)
+	}
+	if got, want := f.call(at, "pay", key), "unknown lost"; got != want {
+		t.Errorf("%s at %s: got %q for the repeat, want %q", protocol, at, got, want)
+	}
+	if got := f.runs() - before; got != 1 {
+		t.Errorf("%s at %s: got %d runs, want 1", protocol, at, got)
+	}
+}
+
+// sendRaw sends a call with the given protocol to address and returns the body of the
+// response.
+func sendRaw(address, protocol, key string) (string, error) {
+	conn, err := net.Dial("tcp", address)
+	if err != nil {
+		return "", err
+	}
+	defer func() { _ = conn.Close() }()
+	const head = "POST /deposits/pay %s\r\nHost: x\r\nSardine-Id: %s\r\nContent-Length: 4\r\n\r\nbody"
+	if _, err := fmt.Fprintf(conn, head, protocol, key); err != nil {
+		return "", err
+	}
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		return "", err
+	}
+	text, err := io.ReadAll(resp.Body)
+	return resp.Status + " " + string(text), err
+}
+
 // TestPeerUnreachable guards against an instance that executes a call itself
 // because it cannot reach the instance that may execute it.
 func TestPeerUnreachable(t *testing.T) {
--- a/internal/call/deduper/forward.go
+++ b/internal/call/deduper/forward.go
@@ -40,7 +40,7 @@
 	callerConn.PrepareResponse()
 	switch {
 	case err == nil:
-		responder.RelayResponse(w, resp)
+		responder.RelayResponse(w, r, resp)
 	case ctx.Err() != nil:
 		d.reportOutcome(w, sender.Unknown, "deadline")
 	default:
--- a/internal/call/responder/responder.go
+++ b/internal/call/responder/responder.go
@@ -51,19 +51,19 @@
 	return metadata.RequestID
 }
 
-// CopyResponse writes the response of a backend server to w and closes its body.
-// It lets the dialect set the headers for the caller; translator.Native marks a
-// status of 500 and above with the outcome failed. When the body breaks off,
+// CopyResponse writes the response of a backend server to r to w and closes its
+// body. It lets the dialect set the headers for the caller; translator.Native marks
+// a status of 500 and above with the outcome failed. When the body breaks off,
 // CopyResponse panics with http.ErrAbortHandler, which aborts the caller's
 // connection, so that the caller does not take the part for the complete response.
-func (re *Responder) CopyResponse(w http.ResponseWriter, resp *http.Response) {
+func (re *Responder) CopyResponse(w http.ResponseWriter, r *http.Request, resp *http.Response) {
 	re.dialect().SetResponseHeaders(resp.StatusCode, resp.Header, re.Instance)
-	RelayResponse(w, resp)
+	RelayResponse(w, r, resp)
 }
 
 // RelayResponse is CopyResponse for a response whose headers for the caller were
 // set by another instance.
-func RelayResponse(w http.ResponseWriter, resp *http.Response) {
+func RelayResponse(w http.ResponseWriter, r *http.Request, resp *http.Response) {
 	defer func() { _ = resp.Body.Close() }()
 	sender.RemoveHopByHopHeaders(resp.Header)
 	maps.Copy(w.Header(), resp.Header)
@@ -73,7 +73,7 @@
 	}
 	w.WriteHeader(resp.StatusCode)
 	if err := copyBody(w, resp); err != nil {
-		panic(http.ErrAbortHandler)
+		abortResponse(w, r)
 	}
 	for name, values := range resp.Trailer {
 		if !slices.Contains(announced, name) {
@@ -83,6 +83,28 @@
 	}
 }
 
+// abortResponse aborts the connection of the caller of r. HTTP/1.0 has no chunks:
+// the end of the connection may end the body there, so only a reset shows that the
+// response is not complete.
+func abortResponse(w http.ResponseWriter, r *http.Request) {
+	if !r.ProtoAtLeast(1, 1) {
+		resetConn(w)
+	}
+	panic(http.ErrAbortHandler)
+}
+
+// resetConn resets the connection of w.
+func resetConn(w http.ResponseWriter) {
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return
+	}
+	if c, ok := conn.(interface{ SetLinger(seconds int) error }); ok {
+		_ = c.SetLinger(0) // Close then sends a reset.
+	}
+	_ = conn.Close()
+}
+
 const copyBufferBytes = 32 << 10
 
 // copyBody copies the body. A response of unknown length may be a stream of
--- a/internal/call/responder/responder_test.go
+++ b/internal/call/responder/responder_test.go
@@ -21,7 +21,7 @@
 func startServer(t *testing.T, http2 bool, newResponse func() *http.Response) *httptest.Server {
 	t.Helper()
 	re := &responder.Responder{Instance: "one"}
-	s := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { re.CopyResponse(w, newResponse()) }))
+	s := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { re.CopyResponse(w, r, newResponse()) }))
 	s.EnableHTTP2 = http2
 	s.TLS = &tls.Config{}
 	s.StartTLS()
--- a/internal/instance/runner/call_handler.go
+++ b/internal/instance/runner/call_handler.go
@@ -178,7 +178,7 @@
 	outcome := sender.Failed.String()
 	defer func() { h.recordCall(active, outcome, nil, start) }() // CopyResponse panics when the response is cut off.
 	failed := response.resp.StatusCode >= http.StatusInternalServerError
-	h.responder.CopyResponse(w, response.resp)
+	h.responder.CopyResponse(w, r, response.resp)
 	if !failed {
 		outcome = "answered"
 	}
