Pass no informational response on to callers of HTTP/1.0

What callers saw: a caller that speaks HTTP/1.0 got a 103 of its backend server as the response to its request, with an empty body, and the final response behind it, where none is due.

Cause: informational responses were passed on to each caller. HTTP/1.0 has none (RFC 9110 section 15.2 forbids to send one): the first response is the final one.

Evidence: TestCutResponse with the kind "after 103" on the code before, 28 cases failed, all over HTTP/1.0: after 103, HTTP/1.0, close after 42 bytes: got "103 Early Hints ", want "502 unknown read".

Change: they are passed on from HTTP/1.1 on.

Measured: all cases pass, go test -race -count 3.

--- a/internal/instance/runner/active_call.go
+++ b/internal/instance/runner/active_call.go
@@ -63,8 +63,10 @@
 		// that has been idle for long and could be dead.
 		RequireFreshConn: attempt.Number > 1 || !a.hedge && a.retrier.Limit == nil, AllowResend: a.hedge,
 	}
-	if a.hedge {
-		outgoing.ForwardInformational = nil // Two attempts must not write to the caller at the same time.
+	if a.hedge || !a.r.ProtoAtLeast(1, 1) {
+		// Two attempts must not write to the caller at the same time, and for HTTP/1.0
+		// the first response is the final one (RFC 9110 section 15.2).
+		outgoing.ForwardInformational = nil
 	}
 	if !a.hedge {
 		a.callerConn.PrepareAttempt()
--- a/internal/instance/runner/cut_response_test.go
+++ b/internal/instance/runner/cut_response_test.go
@@ -21,6 +21,7 @@
 	"length":    {okLine + "Content-Length: 5\r\n\r\n", "hello"},
 	"chunks":    {okLine + "Transfer-Encoding: chunked\r\nTrailer: X\r\n\r\n", "5\r\nhello\r\n0\r\nX: 1\r\n\r\n"},
 	"no length": {okLine + "Connection: close\r\n\r\n", "hello"},
+	"after 103": {"HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n" + okLine + "Content-Length: 5\r\n\r\n", "hello"},
 }
 
 // cutServer is a backend server that sends, of the response named in the header Kind, as
