Take no success without its proof for the response of a backend server

What callers would see: a success of which the backend server had written only a part of the head and then the empty line that ends it. It lacks Sardinelever-Response-Seal, which each success needs, and its body may be short or empty.

Cause: Dialect.ParseResponse looked for the proof of a refusal, not for that of a success. Class: a status is believed without the header that the platform's pages require with it.

Change: such a response counts as unproven, like a refusal without proof: the call may have run, an idempotent one is sent to another backend server, any other is reported as unknown.

--- a/internal/call/sender/sender.go
+++ b/internal/call/sender/sender.go
@@ -173,6 +173,8 @@
 		return &Failure{Outcome: Rejected, Reason: "moved", Err: errors.Errorf("backend server %s is no longer at address %s, which another one has", a.ServerName, a.Server)}
 	case metadata.UnprovenRefusal:
 		return &Failure{Outcome: Unknown, Reason: "unproven", Err: errors.Errorf("backend server %s answered %d without proof that it did not run the call", a.Server, resp.StatusCode)}
+	case metadata.UnprovenSuccess:
+		return &Failure{Outcome: Unknown, Reason: "unproven", Err: errors.Errorf("backend server %s answered %d without proof that it ran the call", a.Server, resp.StatusCode)}
 	case metadata.Refused:
 		return &Failure{Outcome: Rejected, Reason: "refused", Err: errors.Errorf("backend server %s refused the call", a.Server)}
 	}
--- a/internal/call/sender/sender_test.go
+++ b/internal/call/sender/sender_test.go
@@ -289,6 +289,7 @@
 	return translator.ResponseMetadata{
 		RunningCalls: -1, RequestID: h.Get("Id"), Unnamed: h.Get("Id") == "", Misdirected: status == http.StatusMisdirectedRequest,
 		Refused: h.Get("Proof") != "", UnprovenRefusal: status == http.StatusServiceUnavailable && h.Get("Proof") == "",
+		UnprovenSuccess: h.Get("Part") != "",
 	}
 }
 
@@ -306,6 +307,7 @@
 		{"refused", "503 X\r\nProof: 1", sender.Rejected, "refused"},
 		{"unproven", "503 X\r\nId: mine", sender.Unknown, "unproven"},
 		{"moved", "421 X", sender.Rejected, "moved"},
+		{"part of a head", "200 OK\r\nId: mine\r\nPart: 1", sender.Unknown, "unproven"},
 	} {
 		b := startServer(t, func(c net.Conn, _ *http.Request, _, _ int) bool {
 			return writeText(c, "HTTP/1.1 "+test.head+"\r\nContent-Length: 0\r\n\r\n")
--- a/internal/call/translator/dialect.go
+++ b/internal/call/translator/dialect.go
@@ -61,6 +61,9 @@
 	// UnprovenRefusal is set when the status says that the call did not run, and
 	// the header that proves it is missing.
 	UnprovenRefusal bool
+	// UnprovenSuccess is set when the status says that the call succeeded, and the
+	// header with which backend servers prove it is missing.
+	UnprovenSuccess bool
 	// Unnamed is set when backend servers return the RequestID with each response,
 	// and this response has none.
 	Unnamed      bool
