--- a/internal/route/prober/prober_test.go
+++ b/internal/route/prober/prober_test.go
@@ -102,6 +102,22 @@
 	}
 }
 
+// TestCutProbeResponse guards against a load report that broke off and counts.
+func TestCutProbeResponse(t *testing.T) {
+	const text = "HTTP/1.1 200 OK\r\nSardine-Load: 1/2\r\nContent-Length: 2\r\n\r\nok"
+	var s fakeServer
+	for n := 1; n < len(text); n++ {
+		s.responses = append(s.responses, text[:n])
+	}
+	withProber(t, &s, func(_ *prober.Prober, results <-chan prober.Result) {
+		for n := 1; n < len(text); n++ {
+			if got := <-results; !got.Failed || got.ReportedCalls != -1 {
+				t.Errorf("cut after %q: got %+v, want a failure", text[:n], got)
+			}
+		}
+	})
+}
+
 // TestUnansweredProbe guards against a probe without a response that never ends,
 // or whose time is not added to the deficit, so that an overloaded server is probed
 // again at once.
