Log what net/http reports as lines of bounded length and rate

Cause: net/http writes to the standard library's logger, which nothing set.

Evidence: TestUnsolicitedResponseLine (real process) on the code before: got line "2026/12/05 21:48:10 Unsolicited response received on idle HTTP channel ...", want JSON

Control characters are replaced, since log.Logger writes them as they are.

Measured: TestUnsolicitedResponseLine, TestStandardWriter, TestOperationsPage pass with -race -count 3.

--- a/cmd/sardinelever/run.go
+++ b/cmd/sardinelever/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	stdlog "log"
 	"os"
 	"os/signal"
 	"runtime/debug"
@@ -33,6 +34,8 @@
 	// Components without their own logger use the default one.
 	log.DefaultLogger.SetLevel(log.ParseLevel(settings.Level))
 	log.DefaultLogger.Writer = &log.IOWriter{Writer: &logger.Writer{Output: os.Stdout}}
+	stdlog.SetFlags(0) // The lines of the log have their own time.
+	stdlog.SetOutput(&logger.StandardWriter{})
 	if settings.Memory > 0 {
 		debug.SetMemoryLimit(int64(memoryLimitFraction * float64(settings.Memory) * (1 << 20)))
 	}
