Tell a copied refusal from the answer to a later exchange

Callers saw "not run, try again" (503, or a second backend server ran the call) for a call that its backend server ran: a server wrote an earlier refusal once more on a kept connection.

Cause: the ID in an answer was taken as proof of the exchange, but it names the call. When a call was sent again with the same ID on the connection that had refused it, the copy passed. In the native dialect no answer names its call, so each refusal on a reused connection passed, also that of a probe.

Change: a call is not sent on a connection on which a call with its ID was refused; after a refusal without an ID, also of a probe, the connection is closed. A connection that refused 64 calls is closed, which bounds the list.

In the fleet the retrier avoids servers that a call has used, so on the platform it takes a caller that uses an ID twice; native needs no such caller.

--- a/internal/call/sender/doc.go
+++ b/internal/call/sender/doc.go
@@ -8,6 +8,11 @@
 // connection is reused only when its last exchange is complete and no byte has
 // arrived after the response.
 //
+// A backend server may write a refusal again, late, where the response to a later
+// call is due. Its ID tells it apart, so after a refusal without one the
+// connection is closed, and a call is never sent again on a connection on which it
+// was refused: an ID names a call and not one exchange of it.
+//
 // A call that may be resent (Attempt.AllowResend) is sent a second time, to the
 // same backend server on a new connection, when a reused connection is silent:
 // no byte of a response arrives within several times the usual latency of the
--- a/internal/call/sender/pool.go
+++ b/internal/call/sender/pool.go
@@ -5,8 +5,11 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
+
+	"sardinelever.example/sardinelever/internal/call/translator"
 )
 
 const (
@@ -25,6 +28,9 @@
 	// continueTimeout is the longest wait for 100 Continue; RFC 9110 section
 	// 10.1.1 requires the body to be sent eventually without it.
 	continueTimeout = time.Second
+	// maxRefusedIDs bounds the memory of a connection and the time to search it; a
+	// refusal then costs less than 2% of a new connection.
+	maxRefusedIDs = 64
 )
 
 // pooledConn is one connection to a backend server, in use or idle in its pool.
@@ -34,6 +40,9 @@
 	pool      *connPool
 	idleTimer *time.Timer // Calls closeIfIdle; set while the connection is in the pool.
 	lastUsed  time.Time   // End of the last exchange; zero for a new connection.
+	// refusedIDs are the IDs of the calls that were refused on the connection, at
+	// most maxRefusedIDs.
+	refusedIDs []string
 }
 
 // connPool holds the connections to one backend server.
@@ -61,11 +70,12 @@
 	return conn.tracked, nil
 }
 
-// acquireConn returns a connection that has been idle for at most maxIdle, or a
-// new one. It waits while limit connections are open and none of them is idle.
-func (p *connPool) acquireConn(ctx context.Context, transport *http.Transport, maxIdle time.Duration, limit int) (*pooledConn, error) {
+// acquireConn returns a connection that has been idle for at most maxIdle and on
+// which no call with requestID was refused, or a new one. It waits while limit
+// connections are open and none of them is idle.
+func (p *connPool) acquireConn(ctx context.Context, transport *http.Transport, maxIdle time.Duration, limit int, requestID string) (*pooledConn, error) {
 	for {
-		conn, stale, wait := p.tryAcquireConn(maxIdle, limit)
+		conn, stale, wait := p.tryAcquireConn(maxIdle, limit, requestID)
 		if stale != nil {
 			_ = stale.Close()
 			continue
@@ -88,22 +98,24 @@
 // connection that must be closed to stay within limit, a channel to wait on, or
 // three nil values when the caller must dial a connection, which is then already
 // counted in openConns.
-func (p *connPool) tryAcquireConn(maxIdle time.Duration, limit int) (conn, stale *pooledConn, wait <-chan struct{}) {
+func (p *connPool) tryAcquireConn(maxIdle time.Duration, limit int, requestID string) (conn, stale *pooledConn, wait <-chan struct{}) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if n := len(p.idleConns); n > 0 {
-		conn := p.idleConns[n-1]
-		if conn.Err() == nil && time.Since(conn.lastUsed) <= maxIdle {
-			p.idleConns = p.idleConns[:n-1]
+	for i, conn := range slices.Backward(p.idleConns) {
+		if conn.Err() != nil || time.Since(conn.lastUsed) > maxIdle {
+			break
+		}
+		if !slices.Contains(conn.refusedIDs, requestID) {
+			p.idleConns = slices.Delete(p.idleConns, i, i+1)
 			conn.idleTimer.Stop()
 			return conn, nil, nil
 		}
-		if p.openConns >= limit {
-			stale := p.idleConns[0]
-			p.idleConns = p.idleConns[1:]
-			stale.idleTimer.Stop()
-			return nil, stale, nil
-		}
+	}
+	if len(p.idleConns) > 0 && p.openConns >= limit {
+		stale := p.idleConns[0]
+		p.idleConns = p.idleConns[1:]
+		stale.idleTimer.Stop()
+		return nil, stale, nil
 	}
 	if p.openConns < limit {
 		p.openConns++
@@ -149,6 +161,18 @@
 	}
 }
 
+// afterRefusal returns the function that ends an exchange in which the backend
+// server answered m, a refusal. The connection is reused only when the refusal
+// names its call, and then not for that call: a copy of the refusal that arrives
+// later is otherwise not distinguishable from the answer to another exchange.
+func (c *pooledConn) afterRefusal(m *translator.ResponseMetadata) (endExchange func()) {
+	if m.RequestID == "" || len(c.refusedIDs) == maxRefusedIDs {
+		return func() { _ = c.Close() }
+	}
+	c.refusedIDs = append(c.refusedIDs, m.RequestID)
+	return c.tracked.endExchange
+}
+
 // removeClosed removes a closed connection from its pool.
 func (c *pooledConn) removeClosed() {
 	p := c.pool
--- a/internal/call/sender/probe.go
+++ b/internal/call/sender/probe.go
@@ -16,7 +16,7 @@
 // size over all instances is connections.
 func (s *Sender) ProbeServer(ctx context.Context, server netip.AddrPort, path string, connections int) (translator.ResponseMetadata, error) {
 	pool := s.serverPool(server)
-	conn, err := pool.acquireConn(ctx, s.transport, maxIdleTime, s.connectionLimit(connections))
+	conn, err := pool.acquireConn(ctx, s.transport, maxIdleTime, s.connectionLimit(connections), "")
 	if err != nil {
 		return translator.ResponseMetadata{}, errors.Wrap(err, "probe")
 	}
@@ -40,6 +40,10 @@
 		_ = conn.Close()
 		return translator.ResponseMetadata{}, errors.New("probe: late response to a call")
 	}
-	conn.tracked.endExchange()
+	if metadata.IsRefusal() {
+		conn.afterRefusal(&metadata)()
+	} else {
+		conn.tracked.endExchange()
+	}
 	return metadata, nil
 }
--- a/internal/call/sender/sender.go
+++ b/internal/call/sender/sender.go
@@ -111,7 +111,7 @@
 // runExchange sends the call once and returns the response or why there is none.
 func (s *Sender) runExchange(ctx context.Context, x *exchange) (*http.Response, error) {
 	a, pool := x.attempt, x.pool
-	conn, err := pool.acquireConn(ctx, s.transport, x.maxIdle, s.connectionLimit(a.Call.Service.Connections))
+	conn, err := pool.acquireConn(ctx, s.transport, x.maxIdle, s.connectionLimit(a.Call.Service.Connections), a.Call.RequestID)
 	if err != nil {
 		return nil, newFailure(ctx, Rejected, "connect", err)
 	}
@@ -146,33 +146,34 @@
 		}
 		return nil, newFailure(ctx, Unknown, "read", err)
 	}
-	failure := s.checkResponse(a, resp, reused)
+	metadata := s.dialect().ParseResponse(resp.StatusCode, resp.Header)
+	failure := checkResponse(a, resp.StatusCode, &metadata, reused)
 	if failure != nil && failure.Reason == foreignReason {
 		_ = conn.Close() // The response to this call may still arrive on it.
 		return resp, failure
 	}
-	s.trackBody(a, conn, resp)
 	if failure != nil {
+		trackBody(a, conn, resp, conn.afterRefusal(&metadata))
 		return resp, failure
 	}
+	trackBody(a, conn, resp, conn.tracked.endExchange)
 	return resp, nil
 }
 
 // foreignReason is the Reason of a Failure whose response belongs to another call.
 const foreignReason = "foreign"
 
-// checkResponse returns the failure that the status and the header of resp
-// state, or nil when resp is the response to the call. On a reused connection, a
+// checkResponse returns the failure that the status and the header of a response
+// state, or nil when it is the response to the call. On a reused connection, a
 // response without the ID of the call may be a late one to an earlier call or probe.
-func (s *Sender) checkResponse(a *Attempt, resp *http.Response, reused bool) *Failure {
-	metadata := s.dialect().ParseResponse(resp.StatusCode, resp.Header)
+func checkResponse(a *Attempt, status int, metadata *translator.ResponseMetadata, reused bool) *Failure {
 	switch {
 	case metadata.RequestID != "" && metadata.RequestID != a.Call.RequestID, reused && metadata.Unnamed && a.Call.RequestID != "":
 		return &Failure{Outcome: Unknown, Reason: foreignReason, Err: errors.Errorf("response of backend server %s belongs to another call", a.Server)}
 	case metadata.Misdirected:
 		return &Failure{Outcome: Rejected, Reason: "moved", Err: errors.Errorf("backend server %s is no longer at address %s, which another one has", a.ServerName, a.Server)}
 	case metadata.UnprovenRefusal:
-		return &Failure{Outcome: Unknown, Reason: "unproven", Err: errors.Errorf("backend server %s answered %d without proof that it did not run the call", a.Server, resp.StatusCode)}
+		return &Failure{Outcome: Unknown, Reason: "unproven", Err: errors.Errorf("backend server %s answered %d without proof that it did not run the call", a.Server, status)}
 	case metadata.Refused:
 		return &Failure{Outcome: Rejected, Reason: "refused", Err: errors.Errorf("backend server %s refused the call", a.Server)}
 	}
@@ -186,13 +187,13 @@
 	return s.Dialect
 }
 
-// trackBody makes the end of the response body end the exchange.
-func (s *Sender) trackBody(a *Attempt, conn *pooledConn, resp *http.Response) {
+// trackBody calls onEnd at the end of the response body.
+func trackBody(a *Attempt, conn *pooledConn, resp *http.Response, onEnd func()) {
 	if a.Request.Method == http.MethodHead || resp.ContentLength == 0 {
-		conn.tracked.endExchange()
+		onEnd()
 		return
 	}
-	resp.Body = &responseBody{ReadCloser: resp.Body, conn: conn}
+	resp.Body = &responseBody{ReadCloser: resp.Body, conn: conn, onEnd: onEnd}
 }
 
 func (s *Sender) initialize() {
@@ -276,19 +277,20 @@
 	return &Failure{Outcome: outcome, Reason: reason, Err: err}
 }
 
-// responseBody is a response body whose end makes the connection reusable.
+// responseBody is a response body that calls onEnd at its end.
 type responseBody struct {
 	io.ReadCloser
 	conn  *pooledConn
+	onEnd func()
 	ended bool
 }
 
-// Read reads from the body and ends the exchange at the end of the body.
+// Read reads from the body and calls onEnd at the end of the body.
 func (b *responseBody) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
 	if err == io.EOF && !b.ended {
 		b.ended = true
-		b.conn.tracked.endExchange()
+		b.onEnd()
 	}
 	return n, err
 }
--- a/internal/call/translator/dialect.go
+++ b/internal/call/translator/dialect.go
@@ -72,6 +72,12 @@
 	IdleTimeout  time.Duration // Idle time after which the backend server closes the connection; 0 when unknown.
 }
 
+// IsRefusal reports whether the response says, with or without proof, that the
+// backend server did not run the call.
+func (m *ResponseMetadata) IsRefusal() bool {
+	return m.Refused || m.Misdirected || m.UnprovenRefusal
+}
+
 // ReportedCalls returns the number of calls that run or wait on the backend
 // server, or -1 when it is unknown.
 func (m *ResponseMetadata) ReportedCalls() int {
