--- a/internal/call/sender/pool.go
+++ b/internal/call/sender/pool.go
@@ -5,11 +5,13 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/pkg/errors"
 
+	"sardinelever.example/sardinelever/internal/call/translator"
 	"sardinelever.example/sardinelever/internal/route/withholder"
 )
 
@@ -29,6 +31,13 @@
 	// continueTimeout is the longest wait for 100 Continue; RFC 9110 section
 	// 10.1.1 requires the body to be sent eventually without it.
 	continueTimeout = time.Second
+	// maxRefusedIDs bounds the memory of a connection and the time to search it; a
+	// refusal then costs less than 2% of a new connection.
+	maxRefusedIDs = 64
+	// freshCallsAfterForeign is the number of non-idempotent calls that use new
+	// connections after a response to another call, which costs such a call its
+	// response. These connections together cost about as much as one call.
+	freshCallsAfterForeign = 20
 )
 
 // pooledConn is one connection to a backend server, in use or idle in its pool.
@@ -39,6 +48,9 @@
 	lifetime  withholder.Lifetime // Process that had the address when the connection was opened.
 	idleTimer *time.Timer         // Calls closeIfIdle; set while the connection is in the pool.
 	lastUsed  time.Time           // End of the last exchange; zero for a new connection.
+	// refusedIDs are the IDs of the calls that were refused on the connection, at
+	// most maxRefusedIDs.
+	refusedIDs []string
 }
 
 // connPool holds the connections to one backend server.
@@ -49,6 +61,9 @@
 	openConns int           // Dialing, in use or idle.
 	idleConns []*pooledConn // Most recently used last.
 	changed   chan struct{} // Closed and replaced when a connection becomes idle or is closed.
+	// freshCalls is the number of the next non-idempotent calls that use new
+	// connections.
+	freshCalls int
 }
 
 // pooledConnKey is the context key of the pooledConn that is being dialed.
@@ -74,6 +89,7 @@
 	lifetime   withholder.Lifetime
 	maxIdle    time.Duration // Longest idle time; 0 requires a new connection.
 	limit      int           // Most connections that may be open.
+	requestID  string        // ID of a call that was not refused on the connection; may be empty.
 	withholder *withholder.Withholder
 }
 
@@ -137,25 +153,20 @@
 func (p *connPool) tryAcquireConn(r *connRequest) (conn, stale *pooledConn, wait <-chan struct{}) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if n := len(p.idleConns); n > 0 {
-		conn := p.idleConns[n-1]
+	for i, conn := range slices.Backward(p.idleConns) {
 		if conn.lifetime != r.lifetime {
-			p.idleConns = p.idleConns[:n-1]
-			conn.idleTimer.Stop()
-			return nil, conn, nil
+			return nil, p.takeIdleConn(i), nil
 		}
-		if conn.Err() == nil && time.Since(conn.lastUsed) <= r.maxIdle {
-			p.idleConns = p.idleConns[:n-1]
-			conn.idleTimer.Stop()
-			return conn, nil, nil
+		if conn.Err() != nil || time.Since(conn.lastUsed) > r.maxIdle {
+			break
 		}
-		if p.openConns >= r.limit {
-			stale := p.idleConns[0]
-			p.idleConns = p.idleConns[1:]
-			stale.idleTimer.Stop()
-			return nil, stale, nil
+		if !slices.Contains(conn.refusedIDs, r.requestID) {
+			return p.takeIdleConn(i), nil, nil
 		}
 	}
+	if len(p.idleConns) > 0 && p.openConns >= r.limit {
+		return nil, p.takeIdleConn(0), nil
+	}
 	if p.openConns < r.limit {
 		p.openConns++
 		return nil, nil, nil
@@ -163,6 +174,14 @@
 	return nil, nil, p.changed
 }
 
+// takeIdleConn removes the idle connection at index i from the pool. p.mu must be held.
+func (p *connPool) takeIdleConn(i int) *pooledConn {
+	conn := p.idleConns[i]
+	p.idleConns = slices.Delete(p.idleConns, i, i+1)
+	conn.idleTimer.Stop()
+	return conn
+}
+
 // dialConn opens a connection that tryAcquireConn has counted in openConns. When
 // that fails, it is no longer counted.
 func (p *connPool) dialConn(ctx context.Context, transport *http.Transport, lifetime withholder.Lifetime) (*pooledConn, error) {
@@ -200,6 +219,38 @@
 	}
 }
 
+// afterRefusal returns the function that ends an exchange in which the backend
+// server answered m, a refusal. The connection is reused only when the refusal
+// names its call, and then not for that call: a copy of the refusal that arrives
+// later is otherwise not distinguishable from the answer to another exchange.
+func (c *pooledConn) afterRefusal(m *translator.ResponseMetadata) (endExchange func()) {
+	if m.RequestID == "" || len(c.refusedIDs) == maxRefusedIDs {
+		return func() { _ = c.Close() }
+	}
+	c.refusedIDs = append(c.refusedIDs, m.RequestID)
+	return c.tracked.endExchange
+}
+
+// closeAsForeign closes the connection after a response to another call.
+func (c *pooledConn) closeAsForeign() {
+	c.pool.mu.Lock()
+	c.pool.freshCalls = freshCallsAfterForeign
+	c.pool.mu.Unlock()
+	_ = c.Close()
+}
+
+// takeFreshCall reports whether the next non-idempotent call must use a new
+// connection.
+func (p *connPool) takeFreshCall() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.freshCalls == 0 {
+		return false
+	}
+	p.freshCalls--
+	return true
+}
+
 // removeClosed removes a closed connection from its pool.
 func (c *pooledConn) removeClosed() {
 	p := c.pool
--- a/internal/call/sender/probe.go
+++ b/internal/call/sender/probe.go
@@ -50,9 +50,13 @@
 		s.Withholder.RecordLeaving(time.Now(), conn.lifetime, source)
 	}
 	if late {
-		_ = conn.Close()
+		conn.closeAsForeign()
 		return translator.ResponseMetadata{}, errors.New("probe: late response to a call")
 	}
-	conn.tracked.endExchange()
+	if metadata.IsRefusal() {
+		conn.afterRefusal(&metadata)()
+	} else {
+		conn.tracked.endExchange()
+	}
 	return metadata, nil
 }
--- a/internal/call/sender/sender.go
+++ b/internal/call/sender/sender.go
@@ -68,10 +68,13 @@
 	if a.RequireFreshConn || !a.Call.Idempotent {
 		maxIdle = maxFreshIdleTime
 	}
+	pool := s.serverPool(a.Server)
+	if !a.Call.Idempotent && pool.takeFreshCall() {
+		maxIdle = 0
+	}
 	policy := s.resendPolicy(a.Call.Service.Name)
 	policy.creditCall()
 	firstByteTimeout := policy.firstByteTimeout()
-	pool := s.serverPool(a.Server)
 	a.SentAt = time.Now()
 	start := a.SentAt
 	x := exchange{attempt: a, pool: pool, policy: policy, maxIdle: maxIdle}
@@ -117,7 +120,7 @@
 func (s *Sender) runExchange(ctx context.Context, x *exchange) (*http.Response, error) {
 	a, pool := x.attempt, x.pool
 	conn, err := pool.acquireConn(ctx, s.transport, connRequest{
-		lifetime: a.Lifetime, maxIdle: x.maxIdle, limit: s.connectionLimit(a.Call.Service.Connections), withholder: s.Withholder,
+		lifetime: a.Lifetime, maxIdle: x.maxIdle, limit: s.connectionLimit(a.Call.Service.Connections), withholder: s.Withholder, requestID: a.Call.RequestID,
 	})
 	switch {
 	case errors.Is(err, ErrWithheld):
@@ -163,13 +166,14 @@
 	}
 	failure := checkResponse(a, resp.StatusCode, &metadata, reused)
 	if failure != nil && failure.Reason == foreignReason {
-		_ = conn.Close() // The response to this call may still arrive on it.
+		conn.closeAsForeign() // The response to this call may still arrive on it.
 		return resp, failure
 	}
-	s.trackBody(a, conn, resp)
 	if failure != nil {
+		trackBody(a, conn, resp, conn.afterRefusal(&metadata))
 		return resp, failure
 	}
+	trackBody(a, conn, resp, conn.tracked.endExchange)
 	return resp, nil
 }
 
@@ -225,13 +229,13 @@
 	return s.Dialect
 }
 
-// trackBody makes the end of the response body end the exchange.
-func (s *Sender) trackBody(a *Attempt, conn *pooledConn, resp *http.Response) {
+// trackBody calls onEnd at the end of the response body.
+func trackBody(a *Attempt, conn *pooledConn, resp *http.Response, onEnd func()) {
 	if a.Request.Method == http.MethodHead || resp.ContentLength == 0 {
-		conn.tracked.endExchange()
+		onEnd()
 		return
 	}
-	resp.Body = &responseBody{ReadCloser: resp.Body, conn: conn}
+	resp.Body = &responseBody{ReadCloser: resp.Body, conn: conn, onEnd: onEnd}
 }
 
 func (s *Sender) initialize() {
@@ -315,19 +319,20 @@
 	return &Failure{Outcome: outcome, Reason: reason, Err: err}
 }
 
-// responseBody is a response body whose end makes the connection reusable.
+// responseBody is a response body that calls onEnd at its end.
 type responseBody struct {
 	io.ReadCloser
 	conn  *pooledConn
+	onEnd func()
 	ended bool
 }
 
-// Read reads from the body and ends the exchange at the end of the body.
+// Read reads from the body and calls onEnd at the end of the body.
 func (b *responseBody) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
 	if err == io.EOF && !b.ended {
 		b.ended = true
-		b.conn.tracked.endExchange()
+		b.onEnd()
 	}
 	return n, err
 }
