Write the last log lines before the process exits

The process now waits for them at its end, for at most 100 ms of the 300 ms that a stop leaves for the exit.

TestFlush fails to compile on the code before. -race, three runs: pass.

--- a/cmd/sardinelever/run.go
+++ b/cmd/sardinelever/run.go
@@ -6,6 +6,7 @@
 	"os/signal"
 	"runtime/debug"
 	"syscall"
+	"time"
 
 	"github.com/phuslu/log"
 
@@ -23,6 +24,10 @@
 // kernel buffers and stacks.
 const memoryLimitFraction = 0.7
 
+// logFlushTimeout is the longest time that the process waits at its end for its last log
+// lines to be written. It is within the time that a shutdown leaves for the exit.
+const logFlushTimeout = 100 * time.Millisecond
+
 // Run runs an instance until SIGTERM or SIGINT starts a graceful shutdown. A second
 // signal ends the process at once. SIGHUP reloads the settings.
 func (c *runCommand) Run(ctx context.Context) error {
@@ -32,7 +37,9 @@
 	}
 	// Components without their own logger use the default one.
 	log.DefaultLogger.SetLevel(log.ParseLevel(settings.Level))
-	log.DefaultLogger.Writer = &log.IOWriter{Writer: &logger.Writer{Output: os.Stdout}}
+	lines := &logger.Writer{Output: os.Stdout}
+	defer lines.Flush(logFlushTimeout)
+	log.DefaultLogger.Writer = &log.IOWriter{Writer: lines}
 	if settings.Memory > 0 {
 		debug.SetMemoryLimit(int64(memoryLimitFraction * float64(settings.Memory) * (1 << 20)))
 	}
--- a/internal/operator/logger/writer.go
+++ b/internal/operator/logger/writer.go
@@ -22,6 +22,7 @@
 	once         sync.Once
 	limiter      *rate.Limiter
 	queue        chan []byte
+	pending      atomic.Int64 // Lines that are queued or being written.
 	unreported   atomic.Int64 // Lines dropped since the last log line about dropped lines.
 	droppedTotal atomic.Int64
 }
@@ -58,14 +59,30 @@
 		w.countDropped()
 		return len(line), nil
 	}
+	w.pending.Add(1)
 	select {
 	case w.queue <- bytes.Clone(line):
 	default:
+		w.pending.Add(-1)
 		w.countDropped()
 	}
 	return len(line), nil
 }
 
+// flushCheckPeriod is the time between two checks of Flush.
+const flushCheckPeriod = time.Millisecond
+
+// Flush waits until all lines are written or timeout has passed, and reports whether all
+// are written.
+func (w *Writer) Flush(timeout time.Duration) bool {
+	for end := time.Now().Add(timeout); w.pending.Load() > 0; time.Sleep(flushCheckPeriod) {
+		if time.Now().After(end) {
+			return false
+		}
+	}
+	return true
+}
+
 func (w *Writer) countDropped() {
 	w.unreported.Add(1)
 	w.droppedTotal.Add(1)
@@ -83,7 +100,8 @@
 	var batch []byte
 	for line := range w.queue {
 		batch = append(batch[:0], line...)
-		for more := len(w.queue); more > 0; more-- {
+		more := len(w.queue)
+		for range more {
 			batch = append(batch, <-w.queue...)
 		}
 		if now := time.Now(); now.Sub(reported) >= minReportInterval && w.unreported.Load() > 0 {
@@ -97,5 +115,6 @@
 		if _, err := w.Output.Write(batch); err != nil {
 			w.countDropped() // A failed write can only be counted, because the output of the log has failed.
 		}
+		w.pending.Add(-int64(1 + more))
 	}
 }
--- a/internal/operator/logger/writer_test.go
+++ b/internal/operator/logger/writer_test.go
@@ -72,3 +72,21 @@
 		t.Errorf("got %d lines, want about 10", got)
 	}
 }
+
+// TestFlush guards against the last lines of a process that are lost at its exit.
+func TestFlush(t *testing.T) {
+	o := new(blockableOutput)
+	o.mu.Lock()
+	w := &logger.Writer{Output: o}
+	const line = `{"level":"info"}` + "\n"
+	for range 9 {
+		_, _ = w.Write([]byte(line))
+	}
+	if w.Flush(time.Millisecond) {
+		t.Error("got all lines written to a blocked output")
+	}
+	o.mu.Unlock()
+	if !w.Flush(10*time.Second) || strings.Count(o.String(), line) != 9 {
+		t.Errorf("got %q, want 9 lines", o.String())
+	}
+}
