Account for the calls of a stop in the log

"instance: stopping" now has the number of calls in flight, "instance: stopped" has calls in flight before, accepted later, rejected because of the stop, ended by it and left at its end, and each call that the stop ends has a warning with its id, the time since the SIGTERM, the time that it had left and whether a backend server may have been at work.

--- a/cmd/sardinelever/stop_grace_test.go
+++ b/cmd/sardinelever/stop_grace_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"os"
 	"strings"
 	"syscall"
 	"testing"
@@ -78,6 +79,25 @@
 	if got := d.Err(); got != nil {
 		t.Errorf("got exit %v, want status 0 before the process is killed", got)
 	}
+	d.checkStopLog(t)
+}
+
+// checkStopLog checks that the log names the call that the stop has ended.
+func (d *deployment) checkStopLog(t *testing.T) {
+	t.Helper()
+	log, err := os.ReadFile(d.LogPath)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, want := range []string{
+		`"calls":1,"message":"instance: stopping`,
+		`"outcome":"unknown","atwork":true,`,
+		`"message":"call: ended by the stop"`,
+	} {
+		if got := strings.Count(string(log), want); got != 1 {
+			t.Errorf("got %d lines with %s, want 1:\n%s", got, want, log)
+		}
+	}
 }
 
 // sendOutcomeCall sends a call with a deadline in milliseconds and returns the channel for
--- a/internal/instance/runner/active_call.go
+++ b/internal/instance/runner/active_call.go
@@ -23,6 +23,7 @@
 	w          http.ResponseWriter
 	r          *http.Request
 	call       *classifier.Call
+	deadline   time.Time // Deadline of the call without the limit of a shutdown.
 	body       *retrier.Body
 	hedge      bool // Two attempts may run at the same time.
 	trace      callTrace
--- a/internal/instance/runner/call_handler.go
+++ b/internal/instance/runner/call_handler.go
@@ -38,6 +38,7 @@
 	bodyLimiter  sender.BodyLimiter
 	metrics      *meter.Metrics             // nil means that nothing is counted.
 	stopping     atomic.Pointer[stopPeriod] // Set at the start of a shutdown; callers are then told to close their connections after the response.
+	inFlight     atomic.Int64               // Calls in flight.
 	callsEnded   context.Context            // Done when the shutdown ends the calls in flight; nil means never.
 	log          *log.Logger                // nil means that calls are not logged.
 	checkPause   func()                     // Detects a pause of the process; called before a call is classified.
@@ -80,6 +81,8 @@
 	if h.checkPause != nil {
 		h.checkPause()
 	}
+	h.inFlight.Add(1)
+	defer h.inFlight.Add(-1)
 	if h.stopping.Load() != nil {
 		w.Header().Set("Connection", "close")
 	}
@@ -137,7 +140,7 @@
 // serveCall makes the attempts of the call, writes the response or an error report
 // to the caller, and returns whether a backend server may have run the call.
 func (h *callHandler) serveCall(w http.ResponseWriter, r *http.Request, c *classifier.Call) (ran bool) {
-	start := time.Now()
+	start, deadline := time.Now(), c.Deadline
 	if report := h.stopping.Load().limitCall(c); report != nil {
 		h.responder.WriteErrorReport(w, *report)
 		h.recordCall(&activeCall{callHandler: h, call: c}, sender.Rejected.String(), report, start)
@@ -158,7 +161,7 @@
 	body := &retrier.Body{Source: r.Body}
 	callerConn := responder.WatchCallerConn(ctx, w, body)
 	defer callerConn.Finish()
-	active := &activeCall{callHandler: h, callerConn: callerConn, w: w, r: r, call: c, body: body}
+	active := &activeCall{callHandler: h, callerConn: callerConn, w: w, r: r, call: c, deadline: deadline, body: body}
 	response, err := h.retrier.Do(ctx, h.newRetryCall(active))
 	callerConn.PrepareResponse()
 	if fallback := active.fallback.Load(); fallback != nil {
@@ -172,19 +175,28 @@
 		report := h.failureReport(ctx, err)
 		h.responder.WriteErrorReport(w, report)
 		h.recordCall(active, report.Outcome.String(), &report, start)
+		active.recordEndByStop(ctx, report.Outcome.String())
 		return report.Outcome != sender.Rejected
 	}
 	defer response.releaseSlot()
 	outcome := sender.Failed.String()
-	defer func() { h.recordCall(active, outcome, nil, start) }() // CopyResponse panics when the response is cut off.
+	defer func() { // CopyResponse panics when the response is cut off.
+		h.recordCall(active, outcome, nil, start)
+		if outcome != answeredOutcome {
+			active.recordEndByStop(ctx, outcome)
+		}
+	}()
 	failed := response.resp.StatusCode >= http.StatusInternalServerError
 	h.responder.CopyResponse(w, response.resp)
 	if !failed {
-		outcome = "answered"
+		outcome = answeredOutcome
 	}
 	return true
 }
 
+// answeredOutcome is the outcome of a call with a whole response that is not a server error.
+const answeredOutcome = "answered"
+
 // recordCall counts and logs a call that was accepted at start and has ended.
 func (h *callHandler) recordCall(active *activeCall, outcome string, report *responder.ErrorReport, start time.Time) {
 	h.countCall(active.call, outcome, start)
--- a/internal/instance/runner/instance.go
+++ b/internal/instance/runner/instance.go
@@ -231,7 +231,8 @@
 	i.ready.Store(false)
 	c.members.Leave()
 	c.handler.stopping.Store(period)
-	i.Log.Info().Dur("notice", period.notice).Msg("instance: stopping; calls are accepted until the notice ends")
+	before := c.handler.inFlight.Load()
+	i.Log.Info().Dur("notice", period.notice).Int64("calls", before).Msg("instance: stopping; calls are accepted until the notice ends")
 	time.Sleep(period.notice)
 	ctx, cancel := context.WithCancel(context.Background())
 	if !period.end.IsZero() {
@@ -244,5 +245,6 @@
 	if err := s.callers.Shutdown(ctx); err != nil {
 		i.Log.Warn().Err(err).Msg("instance: calls are still in flight at the end of the grace time")
 	}
-	i.Log.Info().Msg("instance: stopped")
+	i.Log.Info().Dur("took", time.Since(period.start)).Int64("calls", before).Int64("accepted", period.accepted.Load()).Int64("rejected", period.rejected.Load()).
+		Int64("ended", period.ended.Load()).Int64("left", c.handler.inFlight.Load()).Msg("instance: stopped")
 }
--- a/internal/instance/runner/stop_period.go
+++ b/internal/instance/runner/stop_period.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"sardinelever.example/sardinelever/internal/call/classifier"
 	"sardinelever.example/sardinelever/internal/call/responder"
+	"sardinelever.example/sardinelever/internal/call/sender"
 )
 
 const (
@@ -23,17 +25,20 @@
 // stopPeriod is the time from the start of a shutdown to its end. The process is killed
 // after Settings.Grace, so all calls have their answers before that.
 type stopPeriod struct {
+	start    time.Time
 	callsEnd time.Time // Calls in flight are ended then; zero means never.
 	end      time.Time // The wait for calls ends then; zero means never.
 	notice   time.Duration
+
+	accepted, rejected, ended atomic.Int64 // Calls that were accepted, rejected because of the shutdown, or ended by it.
 }
 
 // newStopPeriod returns the stopPeriod of a shutdown that begins at now.
 func newStopPeriod(now time.Time, notice, grace time.Duration) *stopPeriod {
 	if grace <= 0 {
-		return &stopPeriod{notice: notice}
+		return &stopPeriod{start: now, notice: notice}
 	}
-	p := &stopPeriod{end: now.Add(grace - exitMargin), callsEnd: now.Add(grace - exitMargin - answerMargin)}
+	p := &stopPeriod{start: now, end: now.Add(grace - exitMargin), callsEnd: now.Add(grace - exitMargin - answerMargin)}
 	p.notice = max(min(notice, p.callsEnd.Sub(now)), 0)
 	return p
 }
@@ -42,18 +47,41 @@
 // instance would not have the time that the call is to take at most, so that the caller
 // can use another instance at once.
 func (p *stopPeriod) limitCall(c *classifier.Call) *responder.ErrorReport {
-	if p == nil || p.callsEnd.IsZero() || !c.Deadline.After(p.callsEnd) {
+	if p == nil {
+		return nil
+	}
+	if p.callsEnd.IsZero() || !c.Deadline.After(p.callsEnd) {
+		p.accepted.Add(1)
 		return nil
 	}
 	if c.TargetTime.After(p.callsEnd) {
+		p.rejected.Add(1)
 		return &responder.ErrorReport{
 			StatusCode: http.StatusServiceUnavailable, Reason: stoppingReason, Detail: "the instance stops before the call could end", RetryAfter: stoppingRetryAfter,
 		}
 	}
+	p.accepted.Add(1)
 	c.Deadline = p.callsEnd
 	return nil
 }
 
+// isShortened reports whether limitCall has shortened the deadline of the call.
+func (a *activeCall) isShortened() bool { return a.call.Deadline.Before(a.deadline) }
+
+// recordEndByStop counts and logs a call without a whole answer that the shutdown has ended.
+func (a *activeCall) recordEndByStop(ctx context.Context, outcome string) {
+	p := a.stopping.Load()
+	if p == nil || ctx.Err() == nil || !a.areCallsEnded() && !a.isShortened() {
+		return
+	}
+	p.ended.Add(1)
+	if a.log == nil {
+		return
+	}
+	a.log.Warn().Str("id", a.call.RequestID).Str("service", a.call.Service.Name).Str("outcome", outcome).Bool("atwork", outcome != sender.Rejected.String()).
+		Dur("after", time.Since(p.start)).Dur("left", time.Until(a.deadline)).Msg("call: ended by the stop")
+}
+
 // withCallsEnd returns a context that is cancelled with ctx or when the shutdown ends the
 // calls in flight, and a function that releases it.
 func (h *callHandler) withCallsEnd(ctx context.Context) (context.Context, context.CancelFunc) {
