Break off no call that comes late in a stop

What callers saw: a request on a kept connection, taken later than the notice while the instance still waited for another call, was passed on and then answered 504 0.5 s before the end of the grace time, up to 1.6 s before its time limit, while its backend server was at work. The rule of lost requests excuses that only for requests sent up to 3 s after the SIGTERM.

Cause: in a stop a call was accepted by its target, which says when it is likely to end, and its deadline was cut to the end of the calls. A promise that had to be certain rested on an estimate.

Now only calls in the notice, at most 3 s, are accepted by their target; they are the ones whose callers cannot know of the stop, and the time in which they are ended is excused. Later ones are accepted when their deadline lies within the stop and otherwise rejected before anything is sent.

--- a/internal/instance/runner/call_handler.go
+++ b/internal/instance/runner/call_handler.go
@@ -141,7 +141,7 @@
 // to the caller, and returns whether a backend server may have run the call.
 func (h *callHandler) serveCall(w http.ResponseWriter, r *http.Request, c *classifier.Call) (ran bool) {
 	start, deadline := time.Now(), c.Deadline
-	if report := h.stopping.Load().limitCall(c); report != nil {
+	if report := h.stopping.Load().admitCall(c, start); report != nil {
 		h.responder.WriteErrorReport(w, *report)
 		h.recordCall(&activeCall{callHandler: h, call: c}, sender.Rejected.String(), report, start)
 		return false
--- a/internal/instance/runner/stop_period.go
+++ b/internal/instance/runner/stop_period.go
@@ -15,6 +15,9 @@
 	// answerMargin is how long before the end of the shutdown the calls still in flight are
 	// ended, so that their callers get an answer before the connections are closed.
 	answerMargin = 200 * time.Millisecond
+	// maxEarlySpan is the longest time from the start of the shutdown in which a call counts
+	// as early. The platform allows to end such a call in the last sixth of the grace time.
+	maxEarlySpan = 3 * time.Second
 	// stoppingRetryAfter is the Retry-After of a call that an instance rejects because it
 	// stops. Another instance can serve the call at once.
 	stoppingRetryAfter = 100 * time.Millisecond
@@ -26,6 +29,7 @@
 // after Settings.Grace, so all calls have their answers before that.
 type stopPeriod struct {
 	start    time.Time
+	earlyEnd time.Time // Calls that come later are served only when their deadline is before callsEnd.
 	callsEnd time.Time // Calls in flight are ended then; zero means never.
 	end      time.Time // The wait for calls ends then; zero means never.
 	notice   time.Duration
@@ -40,32 +44,36 @@
 	}
 	p := &stopPeriod{start: now, end: now.Add(grace - exitMargin), callsEnd: now.Add(grace - exitMargin - answerMargin)}
 	p.notice = max(min(notice, p.callsEnd.Sub(now)), 0)
+	p.earlyEnd = now.Add(min(p.notice, maxEarlySpan))
 	return p
 }
 
-// limitCall lets c end with the calls of the stopPeriod. It returns a report when the
-// instance would not have the time that the call is to take at most, so that the caller
-// can use another instance at once.
-func (p *stopPeriod) limitCall(c *classifier.Call) *responder.ErrorReport {
+// admitCall decides whether the instance serves c, which has just been accepted. It returns
+// a report when it does not, so that the caller can use another instance at once.
+//
+// Callers cannot know of the shutdown at its start. A call that comes early is served when
+// it is likely to end with the shutdown, which then limits its deadline. A later call is
+// served only when its deadline lies in the shutdown, so that no such call is broken off.
+func (p *stopPeriod) admitCall(c *classifier.Call, now time.Time) *responder.ErrorReport {
 	if p == nil {
 		return nil
 	}
-	if p.callsEnd.IsZero() || !c.Deadline.After(p.callsEnd) {
-		p.accepted.Add(1)
-		return nil
-	}
-	if c.TargetTime.After(p.callsEnd) {
+	isCertain := p.callsEnd.IsZero() || !c.Deadline.After(p.callsEnd)
+	isLikely := now.Before(p.earlyEnd) && !c.TargetTime.After(p.callsEnd)
+	if !isCertain && !isLikely {
 		p.rejected.Add(1)
 		return &responder.ErrorReport{
 			StatusCode: http.StatusServiceUnavailable, Reason: stoppingReason, Detail: "the instance stops before the call could end", RetryAfter: stoppingRetryAfter,
 		}
 	}
 	p.accepted.Add(1)
-	c.Deadline = p.callsEnd
+	if !isCertain {
+		c.Deadline = p.callsEnd
+	}
 	return nil
 }
 
-// isShortened reports whether limitCall has shortened the deadline of the call.
+// isShortened reports whether admitCall has shortened the deadline of the call.
 func (a *activeCall) isShortened() bool { return a.call.Deadline.Before(a.deadline) }
 
 // recordEndByStop counts and logs a call without a whole answer that the shutdown has ended.
