Take a refusal as proof only if it names its call

Callers saw "not run, try again" for a call that ran: a backend server writes a refusal without an ID as soon as a connection opens, then reads the request and runs it.

Cause: an answer without an ID was refused on reused connections only; on a new one, a refusal that was written before the request counted as the answer to it.

Change: where answers name their call, a refusal that does not is "unproven" on any connection, so its call may have run. Bytes that arrive before any of the request were refused before.

Two rows of TestResponseFailures said that such refusals prove something. They are replaced by two with the ID (rejected, as before) and two without (unknown), which is stricter. TestRefusalBeforeRequest failed in 3 of 3 runs without the change, and passes in 3 of 3 with -race.

--- a/internal/call/sender/copied_refusal_test.go
+++ b/internal/call/sender/copied_refusal_test.go
@@ -178,3 +178,42 @@
 		t.Errorf("got %q, want own", got)
 	}
 }
+
+// TestRefusalBeforeRequest guards against a refusal that a backend server writes as soon as a
+// connection opens and that becomes the answer to a call that runs.
+func TestRefusalBeforeRequest(t *testing.T) {
+	for _, head := range []string{"503 X\r\nProof: 1", "421 X", "503 X\r\nProof: 1\r\nId: old"} {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { _ = listener.Close() })
+		b := &scriptedServer{Listener: &refusingListener{listener, emptyResponse(head)}, script: func(net.Conn, *http.Request, int, int) bool { return true }}
+		go b.acceptConns()
+		s := &sender.Sender{Dialect: strictDialect{}}
+		for range 100 { // Some of the refusals arrive before the request is written.
+			resp, err := s.Send(t.Context(), newNamedAttempt(b, "two"))
+			if resp != nil {
+				_ = resp.Body.Close()
+			}
+			var f *sender.Failure
+			if !errors.As(err, &f) || f.Outcome == sender.Rejected && f.Reason != "write" {
+				t.Fatalf("%q: got %v for a call that may run", head, err)
+			}
+		}
+	}
+}
+
+// refusingListener accepts connections and writes the text refusal on each.
+type refusingListener struct {
+	net.Listener
+	refusal string
+}
+
+func (l *refusingListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err == nil {
+		_ = writeText(c, l.refusal)
+	}
+	return c, err
+}
--- a/internal/call/sender/doc.go
+++ b/internal/call/sender/doc.go
@@ -30,7 +30,7 @@
 //	read      the call was written, and no complete response header arrived
 //	protocol  the backend server switched protocols
 //	refused   the backend server states that it did not run the call
-//	unproven  the response is a refusal without the required proof
+//	unproven  the response is a refusal without the required proof or ID
 //	foreign   the response belongs to another call
 //	moved     another backend server has the address
 //	deadline  the deadline passed
--- a/internal/call/sender/sender.go
+++ b/internal/call/sender/sender.go
@@ -169,14 +169,16 @@
 // checkResponse returns the failure that the status and the header of a response
 // state, or nil when it is the response to the call. On a reused connection, a
 // response without the ID of the call may be a late one to an earlier call or probe.
+// On any connection, a refusal without it may have been written before the request
+// arrived, which may then run.
 func checkResponse(a *Attempt, status int, metadata *translator.ResponseMetadata, reused bool) *Failure {
 	switch {
 	case metadata.RequestID != "" && metadata.RequestID != a.Call.RequestID, reused && metadata.Unnamed && a.Call.RequestID != "":
 		return &Failure{Outcome: Unknown, Reason: foreignReason, Err: errors.Errorf("response of backend server %s belongs to another call", a.Server)}
+	case metadata.UnprovenRefusal, metadata.IsRefusal() && metadata.Unnamed && a.Call.RequestID != "":
+		return &Failure{Outcome: Unknown, Reason: "unproven", Err: errors.Errorf("backend server %s answered %d without proof that it did not run the call", a.Server, status)}
 	case metadata.Misdirected:
 		return &Failure{Outcome: Rejected, Reason: "moved", Err: errors.Errorf("backend server %s is no longer at address %s, which another one has", a.ServerName, a.Server)}
-	case metadata.UnprovenRefusal:
-		return &Failure{Outcome: Unknown, Reason: "unproven", Err: errors.Errorf("backend server %s answered %d without proof that it did not run the call", a.Server, status)}
 	case metadata.Refused:
 		return &Failure{Outcome: Rejected, Reason: "refused", Err: errors.Errorf("backend server %s refused the call", a.Server)}
 	}
--- a/internal/call/sender/sender_test.go
+++ b/internal/call/sender/sender_test.go
@@ -303,9 +303,11 @@
 	}{
 		{"own", "200 OK\r\nId: mine", sender.Rejected, ""},
 		{"another", "200 OK\r\nId: other", sender.Unknown, "foreign"},
-		{"refused", "503 X\r\nProof: 1", sender.Rejected, "refused"},
+		{"refused", "503 X\r\nProof: 1\r\nId: mine", sender.Rejected, "refused"},
+		{"refused without a name", "503 X\r\nProof: 1", sender.Unknown, "unproven"},
 		{"unproven", "503 X\r\nId: mine", sender.Unknown, "unproven"},
-		{"moved", "421 X", sender.Rejected, "moved"},
+		{"moved", "421 X\r\nId: mine", sender.Rejected, "moved"},
+		{"moved without a name", "421 X", sender.Unknown, "unproven"},
 	} {
 		b := startServer(t, func(c net.Conn, _ *http.Request, _, _ int) bool {
 			return writeText(c, "HTTP/1.1 "+test.head+"\r\nContent-Length: 0\r\n\r\n")
