--- a/internal/call/sender/sender.go
+++ b/internal/call/sender/sender.go
@@ -204,16 +204,17 @@
 }
 
 // checkResponse returns the failure that a response states, or nil when it is the
-// response to the call. On a reused connection, a
-// response without the ID of the call may be a late one to an earlier call or probe.
+// response to the call. On a reused connection, a response without the ID of the call
+// may be a late one to an earlier call or probe. On any connection, a refusal without
+// it may have been written before the request arrived, which may then run.
 func checkResponse(a *Attempt, statusCode int, metadata *translator.ResponseMetadata, reused bool) *Failure {
 	switch {
 	case isForeign(a, metadata, reused):
 		return &Failure{Outcome: Unknown, Reason: foreignReason, Err: errors.Errorf("response of backend server %s belongs to another call", a.Server)}
+	case metadata.UnprovenRefusal, metadata.IsRefusal() && metadata.Unnamed && a.Call.RequestID != "":
+		return &Failure{Outcome: Unknown, Reason: "unproven", Err: errors.Errorf("backend server %s answered %d without proof that it did not run the call", a.Server, statusCode)}
 	case metadata.Misdirected:
 		return &Failure{Outcome: Rejected, Reason: "moved", Err: errors.Errorf("backend server %s is no longer at address %s, which another one has", a.ServerName, a.Server)}
-	case metadata.UnprovenRefusal:
-		return &Failure{Outcome: Unknown, Reason: "unproven", Err: errors.Errorf("backend server %s answered %d without proof that it did not run the call", a.Server, statusCode)}
 	case metadata.UnprovenSuccess:
 		return &Failure{Outcome: Unknown, Reason: "unproven", Err: errors.Errorf("backend server %s answered %d without proof that it ran the call", a.Server, statusCode)}
 	case metadata.Refused:
