Serve calls into the last sixth of a short grace time

What callers saw: with a grace time below 3 s, a call in flight was ended before the last sixth of it, which is where the rule of lost requests excuses that; at 1.5 s after two thirds.

Cause: the margins for the last answers and for the exit are fixed, 0.5 s together. They are now at most a sixth of the grace time.

Evidence: TestStopWithinGrace, grace of 1.5 s: on the code before ended after 1.001 s in each of three cases, want 1.25 s; now green, -race, three runs (exit within the 150 ms that are left).

--- a/cmd/sardinelever/stop_grace_test.go
+++ b/cmd/sardinelever/stop_grace_test.go
@@ -37,7 +37,8 @@
 
 // TestStopWithinGrace guards against calls that are cut without an answer at the end of the
 // grace time of a planned stop: those in flight when it begins, and those that come later
-// and take longer than what is left.
+// and take longer than what is left. It also guards against calls that are ended sooner than
+// the end of the grace time requires.
 func TestStopWithinGrace(t *testing.T) {
 	for _, c := range []graceTrial{
 		{time.Millisecond, 1500 * time.Millisecond},
@@ -60,6 +61,7 @@
 	if err := d.Signal(syscall.SIGTERM); err != nil {
 		t.Fatal(err)
 	}
+	start := time.Now()
 	kill := time.AfterFunc(c.grace, d.kill) // As the platform does.
 	defer kill.Stop()
 	d.awaitNotReady(t)
@@ -75,6 +77,10 @@
 	if got, want := <-early, "502 unknown stopping"; got != want {
 		t.Errorf("got %q for a call that was in flight, want %q", got, want)
 	}
+	// The platform excuses calls that are ended in the last sixth of the grace time.
+	if got, want := time.Since(start), c.grace-c.grace/6; got < want {
+		t.Errorf("got the call in flight ended after %v, want it served for %v", got, want)
+	}
 	<-d.Done()
 	if got := d.Err(); got != nil {
 		t.Errorf("got exit %v, want status 0 before the process is killed", got)
--- a/internal/instance/runner/stop_period.go
+++ b/internal/instance/runner/stop_period.go
@@ -15,6 +15,9 @@
 	// answerMargin is how long before the end of the shutdown the calls still in flight are
 	// ended, so that their callers get an answer before the connections are closed.
 	answerMargin = 200 * time.Millisecond
+	// shortGrace is the grace time below which both margins are shortened in proportion.
+	// Calls that came early may be ended in the last sixth of the grace time, and not before.
+	shortGrace = 6 * (exitMargin + answerMargin)
 	// maxEarlySpan is the longest time from the start of the shutdown in which a call counts
 	// as early. The platform allows to end such a call in the last sixth of the grace time.
 	maxEarlySpan = 3 * time.Second
@@ -42,7 +45,8 @@
 	if grace <= 0 {
 		return &stopPeriod{start: now, notice: notice}
 	}
-	p := &stopPeriod{start: now, end: now.Add(grace - exitMargin), callsEnd: now.Add(grace - exitMargin - answerMargin)}
+	exit, answer := min(exitMargin, grace/(shortGrace/exitMargin)), min(answerMargin, grace/(shortGrace/answerMargin))
+	p := &stopPeriod{start: now, end: now.Add(grace - exit), callsEnd: now.Add(grace - exit - answer)}
 	p.notice = max(min(notice, p.callsEnd.Sub(now)), 0)
 	p.earlyEnd = now.Add(min(p.notice, maxEarlySpan))
 	return p
