Let a repeated SIGTERM not cut off a stop with a grace time

What callers saw: when SIGTERM came a second time, 250 ms after the first, all calls in flight ended without an answer, calls that backend servers were at work on among them.

Cause: a second signal ends the process at once, so that an operator can interrupt a stop that takes too long. With the setting grace no stop does: calls end in that time, and the platform kills the process after it. There a repeated SIGTERM says nothing new; it comes when a supervisor signals the process and its group. SIGINT still ends the process at once, and without grace so does SIGTERM (TestSecondSignal).

--- a/cmd/sardinelever/main.go
+++ b/cmd/sardinelever/main.go
@@ -26,7 +26,7 @@
 
 const description = `Load balancer for servers whose load shifts in milliseconds.
 
-Exit status: 0 success, 1 refusal or error, 2 wrong arguments, 3 ended at once by a second SIGTERM or SIGINT.`
+Exit status: 0 success, 1 refusal or error, 2 wrong arguments, 3 ended at once by a second SIGTERM or SIGINT (an instance with the setting grace: by SIGINT).`
 
 func main() {
 	var c commands
@@ -37,5 +37,6 @@
 	signal.Notify(handler.signals, os.Interrupt, syscall.SIGTERM)
 	go handler.handleSignals()
 	k.BindTo(ctx, (*context.Context)(nil))
+	k.Bind(handler)
 	k.FatalIfErrorf(k.Run())
 }
--- a/cmd/sardinelever/run.go
+++ b/cmd/sardinelever/run.go
@@ -29,12 +29,14 @@
 const logFlushTimeout = 100 * time.Millisecond
 
 // Run runs an instance until SIGTERM or SIGINT starts a graceful shutdown. A second
-// signal ends the process at once. SIGHUP reloads the settings.
-func (c *runCommand) Run(ctx context.Context) error {
+// signal ends the process at once; with the setting grace only SIGINT does, because the
+// shutdown ends in that time. SIGHUP reloads the settings.
+func (c *runCommand) Run(ctx context.Context, handler *signalHandler) error {
 	settings, err := readSettings(c.Settings)
 	if err != nil {
 		return printMistakes(err)
 	}
+	handler.bounded.Store(settings.Grace > 0)
 	// Components without their own logger use the default one.
 	log.DefaultLogger.SetLevel(log.ParseLevel(settings.Level))
 	lines := &logger.Writer{Output: os.Stdout}
