Leave servers alone for the time that they ask for by 503 with Retry-After

The instance went on sending calls and probes, and callers of a service that wanted none were told to come back after 46 to 73 ms, or waited and were sent there as soon as a slot was free.

Cause: nothing read the header of an answer; a 503 changed the limit of a slot at the home at most.

The asks of this instance avoid the server, offers that cross the statement are given back, and if no other is left, callers are refused at once, with Retry-After from the earliest end on.

--- a/internal/instance/runner/call_handler.go
+++ b/internal/instance/runner/call_handler.go
@@ -31,16 +31,19 @@
 type callHandler struct {
 	routingTable *router.TableHolder
 	slots        slotAcquirer
-	deduper      *deduper.Deduper // nil means that identified calls are handled like those without an idempotency key.
-	sender       sender.Sender
-	retrier      retrier.Retrier[*serverResponse]
-	responder    responder.Responder
-	bodyLimiter  sender.BodyLimiter
-	metrics      *meter.Metrics             // nil means that nothing is counted.
-	stopping     atomic.Pointer[stopPeriod] // Set at the start of a shutdown; callers are then told to close their connections after the response.
-	callsEnded   context.Context            // Done when the shutdown ends the calls in flight; nil means never.
-	log          *log.Logger                // nil means that calls are not logged.
-	checkPause   func()                     // Detects a pause of the process; called before a call is classified.
+	// pausedRefusal returns the refusal of calls of a service all of whose servers want
+	// no calls for some time, or nil; it may be nil.
+	pausedRefusal func(service string) *acquirer.Refusal
+	deduper       *deduper.Deduper // nil means that identified calls are handled like those without an idempotency key.
+	sender        sender.Sender
+	retrier       retrier.Retrier[*serverResponse]
+	responder     responder.Responder
+	bodyLimiter   sender.BodyLimiter
+	metrics       *meter.Metrics             // nil means that nothing is counted.
+	stopping      atomic.Pointer[stopPeriod] // Set at the start of a shutdown; callers are then told to close their connections after the response.
+	callsEnded    context.Context            // Done when the shutdown ends the calls in flight; nil means never.
+	log           *log.Logger                // nil means that calls are not logged.
+	checkPause    func()                     // Detects a pause of the process; called before a call is classified.
 	// confirmedAt returns the time at which the configuration was last known to be
 	// that of the platform, or the zero time; nil means unknown.
 	confirmedAt func() time.Time
@@ -170,6 +173,7 @@
 	}
 	if err != nil {
 		report := h.failureReport(ctx, err)
+		h.applyPause(&report, c.Service.Name)
 		h.responder.WriteErrorReport(w, report)
 		h.recordCall(active, report.Outcome.String(), &report, start)
 		return report.Outcome != sender.Rejected
@@ -233,7 +237,7 @@
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		report.StatusCode, report.Reason = http.StatusGatewayTimeout, "deadline"
 	case errors.As(err, &refusal):
-		report.Reason, report.RetryAfter = refusal.Reason, refusal.RetryAfter
+		report.Reason, report.RetryAfter, report.Firm = refusal.Reason, refusal.RetryAfter, refusal.Firm
 	}
 	if ctx.Err() != nil && h.areCallsEnded() {
 		report.Reason, report.RetryAfter = stoppingReason, stoppingRetryAfter
