--- a/cmd/sardinelever/stop_grace_test.go
+++ b/cmd/sardinelever/stop_grace_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"os"
 	"strings"
 	"syscall"
 	"testing"
@@ -36,7 +37,8 @@
 
 // TestStopWithinGrace guards against calls that are cut without an answer at the end of the
 // grace time of a planned stop: those in flight when it begins, and those that come later
-// and take longer than what is left.
+// and take longer than what is left. It also guards against calls that are ended sooner than
+// the end of the grace time requires.
 func TestStopWithinGrace(t *testing.T) {
 	for _, c := range []graceTrial{
 		{time.Millisecond, 1500 * time.Millisecond},
@@ -59,6 +61,7 @@
 	if err := d.Signal(syscall.SIGTERM); err != nil {
 		t.Fatal(err)
 	}
+	start := time.Now()
 	kill := time.AfterFunc(c.grace, d.kill) // As the platform does.
 	defer kill.Stop()
 	d.awaitNotReady(t)
@@ -74,10 +77,33 @@
 	if got, want := <-early, "502 unknown stopping"; got != want {
 		t.Errorf("got %q for a call that was in flight, want %q", got, want)
 	}
+	// The platform excuses calls that are ended in the last sixth of the grace time.
+	if got, want := time.Since(start), c.grace-c.grace/6; got < want {
+		t.Errorf("got the call in flight ended after %v, want it served for %v", got, want)
+	}
 	<-d.Done()
 	if got := d.Err(); got != nil {
 		t.Errorf("got exit %v, want status 0 before the process is killed", got)
 	}
+	d.checkStopLog(t)
+}
+
+// checkStopLog checks that the log names the call that the stop has ended.
+func (d *deployment) checkStopLog(t *testing.T) {
+	t.Helper()
+	log, err := os.ReadFile(d.LogPath)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, want := range []string{
+		`"calls":1,"message":"instance: stopping`,
+		`"outcome":"unknown","atwork":true,`,
+		`"message":"call: ended by the stop"`,
+	} {
+		if got := strings.Count(string(log), want); got != 1 {
+			t.Errorf("got %d lines with %s, want 1:\n%s", got, want, log)
+		}
+	}
 }
 
 // sendOutcomeCall sends a call with a deadline in milliseconds and returns the channel for
