--- a/internal/instance/runner/call_handler.go
+++ b/internal/instance/runner/call_handler.go
@@ -31,26 +31,26 @@
 type callHandler struct {
 	routingTable *router.TableHolder
 	slots        slotAcquirer
-	// pausedRefusal returns the refusal of calls of a service all of whose servers want
-	// no calls for some time, or nil; it may be nil.
-	pausedRefusal func(service string) *acquirer.Refusal
-	deduper       *deduper.Deduper // nil means that identified calls are handled like those without an idempotency key.
-	sender        sender.Sender
-	retrier       retrier.Retrier[*serverResponse]
-	responder     responder.Responder
-	bodyLimiter   sender.BodyLimiter
-	metrics       *meter.Metrics             // nil means that nothing is counted.
-	stopping      atomic.Pointer[stopPeriod] // Set at the start of a shutdown; callers are then told to close their connections after the response.
-	inFlight      atomic.Int64               // Calls in flight.
-	callsEnded    context.Context            // Done when the shutdown ends the calls in flight; nil means never.
-	log           *log.Logger                // nil means that calls are not logged.
-	checkPause    func()                     // Detects a pause of the process; called before a call is classified.
+	deduper      *deduper.Deduper // nil means that identified calls are handled like those without an idempotency key.
+	sender       sender.Sender
+	retrier      retrier.Retrier[*serverResponse]
+	responder    responder.Responder
+	bodyLimiter  sender.BodyLimiter
+	metrics      *meter.Metrics             // nil means that nothing is counted.
+	stopping     atomic.Pointer[stopPeriod] // Set at the start of a shutdown; callers are then told to close their connections after the response.
+	inFlight     atomic.Int64               // Calls in flight.
+	callsEnded   context.Context            // Done when the shutdown ends the calls in flight; nil means never.
+	log          *log.Logger                // nil means that calls are not logged.
+	checkPause   func()                     // Detects a pause of the process; called before a call is classified.
 	// confirmedAt returns the time at which the configuration was last known to be
 	// that of the platform, or the zero time; nil means unknown.
 	confirmedAt func() time.Time
 	// isConfigCurrent reports whether routingTable holds each configuration that has to
 	// be in force; nil means that it does.
 	isConfigCurrent func() bool
+	// pausedRefusal returns the refusal of calls of a service all of whose servers want
+	// no calls for some time, or nil; it may be nil.
+	pausedRefusal func(service string) *acquirer.Refusal
 }
 
 // issueKeyPath is the path at which callers request a new idempotency key for a
