--- a/internal/route/withholder/withholder.go
+++ b/internal/route/withholder/withholder.go
@@ -74,7 +74,7 @@
 	// store that lists it again, is to be expected.
 	unlistedRetention = 24 * time.Hour
 	// maxServers bounds the memory, at about 100 bytes for each lifetime.
-	maxServers = 1 << 14
+	maxServers = 1 << 12
 )
 
 // HasStatements reports whether any statement is known.
