Use an address again that a leaving server had

A process that starts at the address of one that left, under another name, got no calls for as long as the list still had both: the home kept whichever was listed last, and the entry excluded the address. Of two servers at an address the one that is not leaving counts now, for the home, the list to avoid and the name that a call expects.

--- a/internal/route/acquirer/withheld.go
+++ b/internal/route/acquirer/withheld.go
@@ -8,20 +8,23 @@
 	"sardinelever.example/sardinelever/internal/route/withholder"
 )
 
-// withheldServers returns the backend servers of service to which no call may start.
+// withheldServers returns the backend servers of service to which no call may start. A
+// withheld process does not count once another one is listed at its address.
 func (c *Client) withheldServers(service string) []netip.AddrPort {
 	if !c.Withholder.HasStatements() {
 		return nil
 	}
-	s := c.RoutingTable.Load().Services[service]
+	table := c.RoutingTable.Load()
+	s := table.Services[service]
 	if s == nil {
 		return nil
 	}
 	now := time.Now()
 	var withheld []netip.AddrPort
 	for i := range s.Servers {
-		if c.Withholder.IsWithheld(now, withholder.LifetimeOf(&s.Servers[i])) {
-			withheld = append(withheld, s.Servers[i].Address)
+		b := &s.Servers[i]
+		if c.Withholder.IsWithheld(now, withholder.LifetimeOf(b)) && table.FindServer(service, b.Address) == b {
+			withheld = append(withheld, b.Address)
 		}
 	}
 	return withheld
--- a/internal/route/acquirer/withheld_test.go
+++ b/internal/route/acquirer/withheld_test.go
@@ -194,6 +194,25 @@
 	waitForSlotsInUse(t, f.instances, 0)
 }
 
+// TestAddressOfLeavingServerIsUsedAgain guards against a new process that gets no calls
+// because the one before it at the same address, which is still listed, had left.
+func TestAddressOfLeavingServerIsUsedAgain(t *testing.T) {
+	f := newStatementFleet(t, []string{"a"}, 2, 1)
+	m := f.members[0]
+	m.w.RecordLeaving(time.Now(), leaverLife, withholder.FromRequest)
+	f.awaitTables(t)
+	s := *f.routingTable.Load().Services["guidance"]
+	s.Servers = append(s.Servers, s.Servers[0])
+	s.Servers[1].Name = "a1"
+	f.routingTable.Store(&router.RoutingTable{Version: 2, Services: map[string]*router.Service{"guidance": &s}})
+	for _, m := range f.members {
+		m.applyList(f.routingTable.Load())
+	}
+	if got := acquireSlot(t, &m.Client).Server; got != leaver {
+		t.Errorf("got %v, want the address that both processes have", got)
+	}
+}
+
 // TestWaitEndsWhenAllLeave guards against a request that waits in the queue of a home
 // until its deadline although all backend servers leave, also if the home does not know.
 func TestWaitEndsWhenAllLeave(t *testing.T) {
--- a/internal/route/allocator/pool.go
+++ b/internal/route/allocator/pool.go
@@ -93,7 +93,7 @@
 	var members []router.BackendServer
 	if s := table.Services[p.Key.Service]; s != nil {
 		p.config = s.Service.WithDefaults()
-		members = PoolMembers(s, p.Key)
+		members = withoutReplaced(PoolMembers(s, p.Key))
 		p.slotRatio = serviceSlotRatio(s, members)
 	}
 	if first {
--- a/internal/route/allocator/pool_test.go
+++ b/internal/route/allocator/pool_test.go
@@ -143,6 +143,23 @@
 	}
 }
 
+// TestProcessWithAddressOfLeavingServer guards against a new process that gets no calls
+// because the list still has the leaving one from which it took over the address.
+func TestProcessWithAddressOfLeavingServer(t *testing.T) {
+	for _, leavingFirst := range []bool{true, false} {
+		p, e := newPool(1, 1), &replyRecorder{make(map[uint64]allocator.Reply)}
+		address := p.Status(startTime).Servers[0].Address
+		m := &router.Service{Service: &parser.Service{Name: "guidance", Slots: 1}, Servers: []router.BackendServer{
+			{Name: "one", Address: address, Zone: "a", Leaving: leavingFirst}, {Name: "two", Address: address, Zone: "a", Leaving: !leavingFirst},
+		}}
+		p.ApplyTable(startTime, &router.RoutingTable{Services: map[string]*router.Service{"guidance": m}})
+		p.RequestSlot(startTime, newRequest(e, 1, parser.Urgent, startTime.Add(time.Second)))
+		if got := e.replies[1]; got.Kind != allocator.ReplyOffered {
+			t.Errorf("leaving one first %v: got %+v, want an offer", leavingFirst, got)
+		}
+	}
+}
+
 // TestLostCallsKeepEstimate guards against requests that are refused as late
 // because calls on connections that went silent held their slots until their
 // deadlines and raised the estimated hold time.
