--- a/internal/route/withholder/withholder_test.go
+++ b/internal/route/withholder/withholder_test.go
@@ -10,7 +10,6 @@
 	"sardinelever.example/sardinelever/internal/route/withholder"
 )
 
-var start = time.Unix(1000, 0)
 
 // tableOf returns a routing table that lists the lifetimes as ready.
 func tableOf(lifetimes ...withholder.Lifetime) *router.RoutingTable {
