--- a/internal/route/withholder/withholder_test.go
+++ b/internal/route/withholder/withholder_test.go
@@ -10,7 +10,6 @@
 	"sardinelever.example/sardinelever/internal/route/withholder"
 )
 
-
 // tableOf returns a routing table that lists the lifetimes as ready.
 func tableOf(lifetimes ...withholder.Lifetime) *router.RoutingTable {
 	s := &router.Service{Service: &parser.Service{Name: "guidance"}}
