Leave servers alone for the time that they ask for by 503 with Retry-After

The instance went on sending calls and probes, and callers of a service that wanted none were told to come back after 46 to 73 ms, or waited and were sent there as soon as a slot was free.

Cause: nothing read the header of an answer; a 503 changed the limit of a slot at the home at most.

Change: package withholder keeps the pause of each lifetime beside its leaving (which wins). The sender records it at the head of each answer (also late ones and probes) and counts each start directly before the first byte. The asks of this instance avoid the server, offers that cross the statement are given back, and if no other is left, callers are refused at once, with Retry-After from the earliest end on. As home the instance still grants the server to others, without probes of its own. A rebuild of the routing table follows only new statements that a server leaves, not pauses.

The stand-in worker says it too (PauseNanos).

--- a/internal/call/sender/pool.go
+++ b/internal/call/sender/pool.go
@@ -83,11 +83,21 @@
 // limit connections are open and none of them is idle. The error is ErrWithheld as soon
 // as the backend server is withheld.
 func (p *connPool) acquireConn(ctx context.Context, transport *http.Transport, r connRequest) (*pooledConn, error) {
+	conn, err := p.awaitConn(ctx, transport, &r)
+	if err == nil && !r.withholder.TryStart(time.Now(), r.lifetime) {
+		_ = conn.Close()
+		return nil, ErrWithheld
+	}
+	return conn, err
+}
+
+// awaitConn is acquireConn without the last check that the server is not withheld.
+func (p *connPool) awaitConn(ctx context.Context, transport *http.Transport, r *connRequest) (*pooledConn, error) {
 	for {
 		if r.isWithheld() {
 			return nil, ErrWithheld
 		}
-		conn, stale, wait := p.tryAcquireConn(&r)
+		conn, stale, wait := p.tryAcquireConn(r)
 		if stale != nil {
 			_ = stale.Close()
 			continue
@@ -96,9 +106,9 @@
 			return conn, nil
 		}
 		if wait == nil {
-			return p.dialAllowedConn(ctx, transport, &r)
+			return p.dialConn(ctx, transport, r.lifetime)
 		}
-		if err := p.awaitChange(ctx, wait, &r); err != nil {
+		if err := p.awaitChange(ctx, wait, r); err != nil {
 			return nil, err
 		}
 	}
@@ -119,17 +129,6 @@
 	return nil
 }
 
-// dialAllowedConn opens a connection like dialConn and closes it if the backend server
-// was withheld meanwhile.
-func (p *connPool) dialAllowedConn(ctx context.Context, transport *http.Transport, r *connRequest) (*pooledConn, error) {
-	conn, err := p.dialConn(ctx, transport, r.lifetime)
-	if err == nil && r.isWithheld() {
-		_ = conn.Close()
-		return nil, ErrWithheld
-	}
-	return conn, err
-}
-
 // tryAcquireConn returns one of: a usable idle connection, a stale idle
 // connection that must be closed because it leads to another process or to stay
 // within the limit, a channel to wait on, or three nil values when the caller must
--- a/internal/call/sender/probe.go
+++ b/internal/call/sender/probe.go
@@ -5,7 +5,6 @@
 	"io"
 	"net/http"
 	"net/netip"
-	"time"
 
 	"github.com/pkg/errors"
 
@@ -42,13 +41,11 @@
 	}
 	metadata := s.dialect().ParseResponse(resp.StatusCode, resp.Header)
 	late := metadata.RequestID != ""
-	if metadata.Leaving {
-		source := withholder.FromProbe
-		if late {
-			source = withholder.FromLate
-		}
-		s.Withholder.RecordLeaving(time.Now(), conn.lifetime, source)
+	source := withholder.FromProbe
+	if late {
+		source = withholder.FromLate
 	}
+	s.recordFrom(conn.lifetime, &metadata, source)
 	if late {
 		_ = conn.Close()
 		return translator.ResponseMetadata{}, errors.New("probe: late response to a call")
--- a/internal/call/sender/sender.go
+++ b/internal/call/sender/sender.go
@@ -186,9 +186,6 @@
 // server. Each response on a connection, also a late one, comes from the process with
 // the lifetime for which the connection was opened.
 func (s *Sender) recordStatements(lifetime withholder.Lifetime, m *translator.ResponseMetadata, foreign bool) {
-	if !m.Leaving {
-		return
-	}
 	source := withholder.FromRequest
 	switch {
 	case foreign:
@@ -196,7 +193,19 @@
 	case m.Refused, m.Misdirected, m.UnprovenRefusal:
 		source = withholder.FromRefusal
 	}
-	s.Withholder.RecordLeaving(time.Now(), lifetime, source)
+	s.recordFrom(lifetime, m, source)
+}
+
+// recordFrom records the statements in m, the metadata of a response of the given kind.
+func (s *Sender) recordFrom(lifetime withholder.Lifetime, m *translator.ResponseMetadata, source withholder.Source) {
+	now := time.Now()
+	if m.Leaving {
+		s.Withholder.RecordLeaving(now, lifetime, source)
+	}
+	if m.InvalidRetryAfter != "" {
+		s.Withholder.RecordInvalidPause(now, lifetime, m.InvalidRetryAfter)
+	}
+	s.Withholder.RecordPause(now, lifetime, m.RetryAfter, source)
 }
 
 // checkResponse returns the failure that a response states, or nil when it is the
--- a/internal/call/translator/dialect.go
+++ b/internal/call/translator/dialect.go
@@ -71,6 +71,11 @@
 	Slowdown     float64       // Time that work takes now on the backend server, relative to its usual time; 0 when unknown.
 	RequestID    string        // Identifies the attempt that the response belongs to; empty when it is not given.
 	IdleTimeout  time.Duration // Idle time after which the backend server closes the connection; 0 when unknown.
+	// RetryAfter is the time for which a backend server that turned the call away
+	// wants no calls and no probes from this instance; 0 means none.
+	RetryAfter time.Duration
+	// InvalidRetryAfter is the text of such a time that is not valid; usually empty.
+	InvalidRetryAfter string
 }
 
 // ReportedCalls returns the number of calls that run or wait on the backend
@@ -89,6 +94,7 @@
 	Reason     string        // One word.
 	Detail     string        // Text for people; may be empty.
 	RetryAfter time.Duration // Time after which a retry of a rejected call is more likely to succeed.
+	Firm       bool          // No retry before RetryAfter can succeed.
 }
 
 // IsRetryable reports whether the same call may succeed when the caller sends it
--- a/internal/call/translator/native.go
+++ b/internal/call/translator/native.go
@@ -101,6 +101,7 @@
 		Refused:  status == http.StatusServiceUnavailable && h.Get("Sardine-Refused") == "1",
 		Draining: h.Get("Sardine-Drain") == "1", Leaving: h.Get("Sardine-Leaving") == "1", RunningCalls: -1,
 	}
+	m.ParseRetryAfter(status, h.Get("Retry-After"))
 	running, _, _ := strings.Cut(h.Get("Sardine-Load"), "/")
 	if n, err := strconv.Atoi(running); err == nil && n >= 0 {
 		m.RunningCalls = n
--- a/internal/instance/runner/adapters.go
+++ b/internal/instance/runner/adapters.go
@@ -188,6 +188,10 @@
 		return
 	}
 	c.allocator.RecordProbe(result.Service, result.Server, trackerResult(result))
+	if result.InvalidPause != "" {
+		c.withholder.RecordInvalidPause(time.Now(), result.Lifetime, result.InvalidPause)
+	}
+	c.withholder.RecordPause(time.Now(), result.Lifetime, result.Pause, withholder.FromProbe)
 	if result.Leaving {
 		c.withholder.RecordLeaving(time.Now(), result.Lifetime, withholder.FromProbe)
 	}
--- a/internal/instance/runner/call_handler.go
+++ b/internal/instance/runner/call_handler.go
@@ -47,6 +47,9 @@
 	// isConfigCurrent reports whether routingTable holds each configuration that has to
 	// be in force; nil means that it does.
 	isConfigCurrent func() bool
+	// pausedRefusal returns the refusal of calls of a service all of whose servers want
+	// no calls for some time, or nil; it may be nil.
+	pausedRefusal func(service string) *acquirer.Refusal
 }
 
 // issueKeyPath is the path at which callers request a new idempotency key for a
@@ -170,6 +173,7 @@
 	}
 	if err != nil {
 		report := h.failureReport(ctx, err)
+		h.applyPause(&report, c.Service.Name)
 		h.responder.WriteErrorReport(w, report)
 		h.recordCall(active, report.Outcome.String(), &report, start)
 		return report.Outcome != sender.Rejected
@@ -233,7 +237,7 @@
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		report.StatusCode, report.Reason = http.StatusGatewayTimeout, "deadline"
 	case errors.As(err, &refusal):
-		report.Reason, report.RetryAfter = refusal.Reason, refusal.RetryAfter
+		report.Reason, report.RetryAfter, report.Firm = refusal.Reason, refusal.RetryAfter, refusal.Firm
 	}
 	if ctx.Err() != nil && h.areCallsEnded() {
 		report.Reason, report.RetryAfter = stoppingReason, stoppingRetryAfter
--- a/internal/instance/runner/components.go
+++ b/internal/instance/runner/components.go
@@ -68,6 +68,8 @@
 	c.audit.Log = l
 	c.bundleStore.Audit = &c.audit
 	c.withholder.Audit, c.withholder.Metrics, c.withholder.OnOwnLeaving = &c.audit, c.metrics, c.slotClient.AnnounceLeaving
+	c.withholder.Log = l
+	meter.RegisterPausedServers(c.metricsRegistry, c.pausedServers)
 	c.pauseDetector.OnPause = c.dropStaleData
 	c.initPlatform()
 	c.initFleet()
@@ -134,7 +136,7 @@
 		Allocator: &c.allocator, Fleet: &c.members, StreamOpener: &c.connector, Policy: slotPolicies[s.Policy], Withholder: &c.withholder,
 		NoSlotReuse: c.platform != nil, // A slot kept from an earlier call would be used without a recent load report of its server.
 	}
-	c.prober = prober.Prober{InstanceName: s.Name, CurrentView: c.currentProbeView, IsIdle: c.isServerIdle, FindLifetime: c.findLifetime, ReportResult: c.deliverProbeResult, Log: c.log}
+	c.prober = prober.Prober{InstanceName: s.Name, CurrentView: c.currentProbeView, IsIdle: c.isServerIdle, MayProbe: c.mayProbe, FindLifetime: c.findLifetime, ReportResult: c.deliverProbeResult, Log: c.log}
 }
 
 // slotPolicies maps the values of the setting policy. The empty value means grant.
@@ -144,6 +146,7 @@
 
 func (c *components) initCallHandler() {
 	c.handler.routingTable, c.handler.slots, c.handler.metrics, c.handler.checkPause = &c.routingTable, &c.slotClient, c.metrics, c.pauseDetector.CheckPause
+	c.handler.pausedRefusal = c.slotClient.PausedRefusal
 	c.handler.responder.Instance, c.handler.log, c.handler.isConfigCurrent = c.settings.Name, c.log, c.isConfigCurrent
 	c.handler.sender.InstanceCount, c.handler.sender.Withholder = c.fleetSize, &c.withholder
 	if c.platform != nil {
@@ -174,7 +177,7 @@
 // applyStatements rebuilds the routing table whenever a backend server has stated that
 // it is leaving, until ctx is done.
 func (c *components) applyStatements(ctx context.Context) error {
-	changed := c.withholder.Changed()
+	changed, applied := c.withholder.Changed(), uint64(0)
 	for {
 		select {
 		case <-ctx.Done():
@@ -182,6 +185,11 @@
 		case <-changed:
 		}
 		changed = c.withholder.Changed() // A later change is not missed.
+		leaving := c.withholder.LeavingCount()
+		if leaving == applied {
+			continue
+		}
+		applied = leaving
 		c.rebuildRoutingTable()
 		c.allocator.ApplyTable()
 	}
--- a/internal/instance/runner/failure_test.go
+++ b/internal/instance/runner/failure_test.go
@@ -110,6 +110,10 @@
 	case "/refuse":
 		w.Header().Set("Sardine-Refused", "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
+	case "/pause":
+		w.Header().Set("Sardine-Refused", "1")
+		w.Header().Set("Retry-After", "30.5")
+		w.WriteHeader(http.StatusServiceUnavailable)
 	case "/foreign":
 		w.WriteHeader(http.StatusServiceUnavailable)
 	case "/hold":
--- a/internal/operator/meter/metrics.go
+++ b/internal/operator/meter/metrics.go
@@ -15,6 +15,7 @@
 	Attempts        *prometheus.CounterVec   // Attempts that got a slot, by service and kind: first, or again for a retry or hedge.
 	SlotWaitSeconds *prometheus.HistogramVec // Time that an attempt waited for a slot, by service and rank.
 	Refusals        *prometheus.CounterVec   // Requests that were refused before they had a service, by reason.
+	Pauses          *prometheus.CounterVec   // Pauses that backend servers asked for, by the kind of the response.
 	LeavingSigns    *prometheus.CounterVec   // Processes of backend servers that became known to be leaving, by source.
 }
 
@@ -33,6 +34,9 @@
 		Refusals: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "sardinelever_refusals_total", Help: "Requests that were refused before they had a service, by reason.",
 		}, []string{"reason"}),
+		Pauses: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "sardinelever_pauses_total", Help: "Pauses that backend servers asked for or extended, by the kind of the response.",
+		}, []string{"source"}),
 		LeavingSigns: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "sardinelever_leaving_total", Help: "Backend servers that stated that they are leaving, by source: request, refusal, late, probe, instance.",
 		}, []string{"source"}),
@@ -40,11 +44,18 @@
 	panics := prometheus.NewCounterFunc(prometheus.CounterOpts{
 		Name: "sardinelever_panics_total", Help: "Panics that ended one call, stream or message.",
 	}, func() float64 { return float64(recoverer.Count()) })
-	r.MustRegister(panics, m.Calls, m.CallSeconds, m.Attempts, m.SlotWaitSeconds, m.Refusals, m.LeavingSigns,
+	r.MustRegister(panics, m.Calls, m.CallSeconds, m.Attempts, m.SlotWaitSeconds, m.Refusals, m.Pauses, m.LeavingSigns,
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	return m
 }
 
+// RegisterPausedServers registers in r the number of backend servers that count returns.
+func RegisterPausedServers(r *prometheus.Registry, count func() int) {
+	r.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "sardinelever_paused_servers", Help: "Backend servers that want no requests from this instance now.",
+	}, func() float64 { return float64(count()) }))
+}
+
 // newSecondsHistogram returns a histogram by service and rank with buckets from 250 µs
 // to 33 s.
 func newSecondsHistogram(name, help string) *prometheus.HistogramVec {
--- a/internal/route/acquirer/acquisition.go
+++ b/internal/route/acquirer/acquisition.go
@@ -114,12 +114,11 @@
 	defer t.Stop()
 	statements := a.client.Withholder.Changed()
 	for {
+		if a.client.Withholder.HasStatements() && !a.hasUsableServer() {
+			return nil, a.refuseWithheld()
+		}
 		select {
 		case <-statements:
-			if !a.hasUsableServer() {
-				a.closeAsks(nil)
-				return nil, &Refusal{Reason: allocator.ReasonNone, RetryAfter: time.Second}
-			}
 			statements = a.client.Withholder.Changed()
 		case <-a.wake:
 			if s, err := a.processReplies(); s != nil || err != nil {
--- a/internal/route/acquirer/client.go
+++ b/internal/route/acquirer/client.go
@@ -33,8 +33,9 @@
 
 // Refusal is the error that Acquire returns when a call gets no slot.
 type Refusal struct {
-	Reason     string        // One of full, late and none as in package allocator, or gone when the context was cancelled.
+	Reason     string        // One of full, late and none as in package allocator, paused when all servers want no calls for some time, or gone when the context was cancelled.
 	RetryAfter time.Duration // Time before another attempt makes sense; 0 when the reason is gone.
+	Firm       bool          // No attempt before RetryAfter can succeed.
 }
 
 // Error implements error.
@@ -130,6 +131,9 @@
 		req.Target = req.Deadline
 	}
 	for {
+		if r := c.PausedRefusal(req.Service); r != nil {
+			return nil, r
+		}
 		avoid := req.Avoid
 		req.Avoid = append(slices.Clip(avoid), c.withheldServers(req.Service)...)
 		s, err := c.acquireAnySlot(ctx, req)
--- a/internal/route/allocator/allocator.go
+++ b/internal/route/allocator/allocator.go
@@ -25,7 +25,8 @@
 	// be probed.
 	StartProbe func(service string, server netip.AddrPort)
 	// Withholder receives what entries report of leaving backend servers. RoutingTable
-	// then shows these servers as leaving. nil ignores the reports.
+	// then shows these servers as leaving. It also says which servers want no probes
+	// of this instance. nil ignores the reports and allows all probes.
 	Withholder *withholder.Withholder
 
 	mu    sync.RWMutex
@@ -165,11 +166,11 @@
 		al.pools = make(map[PoolKey]*poolWorker)
 	}
 	w := &poolWorker{
-		pool: Pool{Key: k, Audit: al.Audit}, routingTable: al.RoutingTable, startProbe: al.StartProbe,
+		pool: Pool{Key: k, Audit: al.Audit}, routingTable: al.RoutingTable, startProbe: al.StartProbe, withholder: al.Withholder,
 		commands: make(chan *command, maxPendingCommands), quit: make(chan struct{}),
 	}
 	if al.StartProbe != nil {
-		w.pool.StartProbe = w.probeServer
+		w.pool.StartProbe, w.pool.MayProbe = w.probeServer, w.mayProbeServer
 	}
 	w.lastUsed.Store(time.Now().UnixNano())
 	al.pools[k] = w
--- a/internal/route/allocator/pool.go
+++ b/internal/route/allocator/pool.go
@@ -23,6 +23,9 @@
 	Policy     picker.Policy[*tracker.Server] // nil selects the server with the lowest score.
 	Jitter     func() float64                 // Factor applied to the suggested retry delay; nil means random from 0.5 to 1.5.
 	StartProbe func(*tracker.Server)          // Starts a probe, whose result goes to RecordProbe; nil means that servers cannot be probed.
+	// MayProbe reports whether a server may be probed now; nil means always. A server
+	// that this instance may not probe is still granted to others.
+	MayProbe func(time.Time, *tracker.Server) bool
 
 	servers         tracker.Pool
 	config          parser.Service
--- a/internal/route/allocator/probing.go
+++ b/internal/route/allocator/probing.go
@@ -68,9 +68,10 @@
 // chooseByFreshReports returns the cheapest free server that is at normal speed by
 // a report of at most maxAge. If there is none, it starts probes of the free
 // servers without a usable report and returns nil while it waits for results. When
-// there are none to wait for, it considers the slow servers.
+// there are none to wait for, it considers the servers that may not be probed, and
+// then the slow ones.
 func (p *Pool) chooseByFreshReports(now time.Time, qr *queuedRequest, maxAge time.Duration) *tracker.Server {
-	var normal, slow, stale []option
+	var normal, slow, stale, unprobed []option
 	pending := 0
 	for _, s := range p.servers.Servers() {
 		if p.availableSlots(now, s) == 0 || s.InProbeBackoff(now) || slices.Contains(qr.Avoid, s.Address) {
@@ -86,6 +87,8 @@
 			slow = append(slow, o)
 		case probeAge > 0 && probeAge <= maxProbeWait:
 			pending++
+		case p.MayProbe != nil && !p.MayProbe(now, s):
+			unprobed = append(unprobed, o)
 		case probeAge > 0: // The probe is late: do not wait for it and do not start another.
 		default:
 			stale = append(stale, o)
@@ -99,6 +102,9 @@
 	if p.awaitingProbes = pending > 0; p.awaitingProbes {
 		return nil
 	}
+	if best, ok := cheapestOption(unprobed); ok {
+		return best.server
+	}
 	return p.chooseSlowServer(now, qr, slow)
 }
 
--- a/internal/route/allocator/worker.go
+++ b/internal/route/allocator/worker.go
@@ -8,6 +8,7 @@
 	"sardinelever.example/sardinelever/internal/flow/recoverer"
 	"sardinelever.example/sardinelever/internal/route/router"
 	"sardinelever.example/sardinelever/internal/route/tracker"
+	"sardinelever.example/sardinelever/internal/route/withholder"
 )
 
 // opcode selects the method of Pool that a command calls.
@@ -53,6 +54,7 @@
 	pool         Pool
 	routingTable *router.TableHolder
 	startProbe   func(service string, server netip.AddrPort)
+	withholder   *withholder.Withholder
 	commands     chan *command
 	quit         chan struct{}
 	lastUsed     atomic.Int64 // Time of the last command, in Unix nanoseconds.
@@ -87,6 +89,10 @@
 
 func (w *poolWorker) probeServer(s *tracker.Server) { w.startProbe(w.pool.Key.Service, s.Address) }
 
+func (w *poolWorker) mayProbeServer(now time.Time, s *tracker.Server) bool {
+	return !w.withholder.IsWithheld(now, withholder.Lifetime{Name: s.Name, ProcessStart: s.ProcessStart})
+}
+
 // tick runs what is due. A panic ends this tick alone.
 func (w *poolWorker) tick(now time.Time) {
 	defer recoverer.Catch("tick of pool "+w.pool.Key.String(), nil)
--- a/internal/route/prober/probe.go
+++ b/internal/route/prober/probe.go
@@ -13,6 +13,7 @@
 
 	"github.com/pkg/errors"
 
+	"sardinelever.example/sardinelever/internal/call/translator"
 	"sardinelever.example/sardinelever/internal/flow/sleeper"
 	"sardinelever.example/sardinelever/internal/route/withholder"
 )
@@ -55,6 +56,9 @@
 		p.Log.Error().Err(err).Msg("route: cannot build the probe request")
 		return skipped
 	}
+	if p.MayProbe != nil && !p.MayProbe(a.Service, a.Server) {
+		return skipped
+	}
 	start := time.Now()
 	if !p.planner.ConfirmSend(a, start) {
 		return skipped
@@ -67,7 +71,10 @@
 	if err != nil {
 		return failed
 	}
+	var metadata translator.ResponseMetadata
+	metadata.ParseRetryAfter(resp.StatusCode, resp.Header.Get("Retry-After"))
 	result := Result{
+		Pause: metadata.RetryAfter, InvalidPause: metadata.InvalidRetryAfter,
 		Service: a.Service, Server: a.Server, Age: took, Latency: took,
 		Failed: resp.StatusCode/100 != 2, Drain: resp.Header.Get("Sardine-Drain") == "1", Leaving: resp.Header.Get("Sardine-Leaving") == "1",
 		Lifetime: lifetime,
--- a/internal/route/prober/prober.go
+++ b/internal/route/prober/prober.go
@@ -25,6 +25,8 @@
 	ReportedSlots int                 // Slots by the server's load report; -1 when unknown.
 	Failed        bool                // No connection, no response in time or a status other than 2xx.
 	Drain         bool                // The backend server asked for no new calls.
+	Pause         time.Duration       // Time for which the backend server wants no calls and probes; 0 means none.
+	InvalidPause  string              // Text of such a time that is not valid; usually empty.
 	Leaving       bool                // The process of the backend server gets no calls any more.
 	Lifetime      withholder.Lifetime // Lifetime of the backend server when the connection was opened.
 }
@@ -38,6 +40,9 @@
 	// IsIdle reports whether there are no recent results of calls to a server, so
 	// that a probe is useful. nil means that every server is idle.
 	IsIdle func(service string, server netip.AddrPort) bool
+	// MayProbe reports, immediately before a probe is sent, whether the server takes
+	// probes now. nil means that every server does.
+	MayProbe func(service string, server netip.AddrPort) bool
 	// FindLifetime returns the lifetime of a server; nil means that it is unknown.
 	FindLifetime func(service string, server netip.AddrPort) withholder.Lifetime
 	// ReportResult receives each result and must return quickly; nil drops the results.
--- a/internal/route/withholder/withholder.go
+++ b/internal/route/withholder/withholder.go
@@ -6,6 +6,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/phuslu/log"
+
 	"sardinelever.example/sardinelever/internal/operator/auditor"
 	"sardinelever.example/sardinelever/internal/operator/meter"
 	"sardinelever.example/sardinelever/internal/route/router"
@@ -52,6 +54,7 @@
 type Withholder struct {
 	Audit   *auditor.Trail
 	Metrics *meter.Metrics // nil means that nothing is counted.
+	Log     *log.Logger    // nil means log.DefaultLogger.
 	// OnOwnLeaving is called for each lifetime that has told this instance itself that
 	// it is leaving; it must not block. It may be nil.
 	OnOwnLeaving func(Lifetime)
@@ -60,12 +63,17 @@
 	mu      sync.Mutex
 	servers map[Lifetime]*serverState
 	changed chan struct{} // Closed and replaced at each change.
+
+	leavingCount atomic.Uint64 // Number of lifetimes that became known to be leaving.
 }
 
 // serverState holds the statements of one lifetime.
 type serverState struct {
 	leaving  bool
 	listedAt time.Time // Last time at which the lifetime was listed or a statement arrived.
+
+	pause         pause
+	invalidLogged bool // An invalid time of a pause was logged.
 }
 
 const (
@@ -81,7 +89,15 @@
 func (w *Withholder) HasStatements() bool { return w != nil && w.count.Load() > 0 }
 
 // IsWithheld reports whether no call and no probe may start at l now.
-func (w *Withholder) IsWithheld(_ time.Time, l Lifetime) bool { return w.IsLeaving(l) }
+func (w *Withholder) IsWithheld(now time.Time, l Lifetime) bool {
+	if !w.HasStatements() {
+		return false
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	s := w.servers[l]
+	return s != nil && (s.leaving || s.pause.wait(now) > 0)
+}
 
 // IsLeaving reports whether l has stated that it is leaving.
 func (w *Withholder) IsLeaving(l Lifetime) bool {
@@ -105,6 +121,7 @@
 	changed := !s.leaving
 	s.leaving, s.listedAt = true, now
 	if changed {
+		w.leavingCount.Add(1)
 		w.notify()
 	}
 	w.mu.Unlock()
@@ -168,6 +185,9 @@
 	return w.changed
 }
 
+// LeavingCount returns the number of lifetimes that have become known to be leaving.
+func (w *Withholder) LeavingCount() uint64 { return w.leavingCount.Load() }
+
 // LeavingLifetimes returns all lifetimes that have stated that they are leaving.
 func (w *Withholder) LeavingLifetimes() []Lifetime {
 	if !w.HasStatements() {
--- a/internal/standin/worker/doc.go
+++ b/internal/standin/worker/doc.go
@@ -6,5 +6,6 @@
 // Callers of a trial control it with the Trial-* request headers, which the
 // instances pass through. Its rejection of a call, which says that the call did not
 // run, is status 503 with the header Sardine-Refused. Sardine-Load reports calls and
-// slots as "calls/slots", and Sardine-Drain tells that it takes no more calls.
+// slots as "calls/slots", Sardine-Drain tells that it takes no more calls, and
+// Retry-After that it wants none from this instance for some time.
 package worker
--- a/internal/standin/worker/server.go
+++ b/internal/standin/worker/server.go
@@ -38,6 +38,7 @@
 
 	Draining      atomic.Bool                    // Sheds every call and sends Sardine-Drain with every response.
 	Leaving       atomic.Bool                    // Sends Sardine-Leaving with every response.
+	PauseNanos    atomic.Int64                   // Sheds every call and probe with Retry-After of this time, in nanoseconds; 0 means none.
 	Failing       atomic.Bool                    // Answers every call at once with status 500.
 	ReportNoLoad  atomic.Bool                    // Reports a load of 0 calls whatever the actual load is.
 	ServedCalls   atomic.Int64                   // Calls that ran to their end.
@@ -108,6 +109,9 @@
 	defer s.inFlight.Add(-1)
 	s.setLoadHeaders(w)
 	switch {
+	case s.PauseNanos.Load() > 0:
+		s.ShedCalls.Add(1)
+		s.askForPause(w)
 	case s.Draining.Load() || inFlight > int64(s.Slots+s.QueueLimit):
 		s.ShedCalls.Add(1)
 		w.Header().Set("Sardine-Refused", "1")
@@ -233,6 +237,16 @@
 	s.mu.Unlock()
 	time.Sleep(s.ProbeDuration)
 	s.setLoadHeaders(w)
+	if s.PauseNanos.Load() > 0 {
+		s.askForPause(w)
+	}
+}
+
+// askForPause refuses a call or a probe with Retry-After.
+func (s *Server) askForPause(w http.ResponseWriter) {
+	w.Header().Set("Sardine-Refused", "1")
+	w.Header().Set("Retry-After", strconv.FormatFloat(time.Duration(s.PauseNanos.Load()).Seconds(), 'f', -1, 64))
+	w.WriteHeader(http.StatusServiceUnavailable)
 }
 
 // setLoadHeaders sets Sardine-Load, and Sardine-Drain while the server drains.
--- a/internal/standin/worker/server_test.go
+++ b/internal/standin/worker/server_test.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"net/http/httptest"
 	"testing"
+	"time"
 
 	"sardinelever.example/sardinelever/internal/standin/worker"
 )
@@ -50,3 +51,17 @@
 		t.Errorf("got peak %d, want 1", got)
 	}
 }
+
+// TestPauseIsNoRun guards against a call that is turned away with Retry-After and counted
+// as run.
+func TestPauseIsNoRun(t *testing.T) {
+	s := &worker.Server{Name: "one", Slots: 1}
+	s.PauseNanos.Store(int64(250 * time.Millisecond))
+	got := serveCall(s, map[string]string{"Sardine-Id": "id"})
+	if got.Code != http.StatusServiceUnavailable || got.Header().Get("Sardine-Refused") != "1" || got.Header().Get("Retry-After") != "0.25" {
+		t.Errorf("got %d %v, want status 503 with Sardine-Refused and Retry-After 0.25", got.Code, got.Header())
+	}
+	if runs := s.RunCount("id"); runs != 0 {
+		t.Errorf("got %d runs, want 0", runs)
+	}
+}
