--- a/internal/route/withholder/pause.go
+++ b/internal/route/withholder/pause.go
@@ -12,11 +12,12 @@
 	saidAt  time.Time     // Time of the statement with the latest end.
 	length  time.Duration // From saidAt.
 	started int           // Requests and probes since the end.
+	firstAt time.Time     // Time of the first of them.
 }
 
 const (
-	// slowStartStep is the time in which the requests that may start after the end of
-	// a pause double. It is several times the duration of a short call, so that a
+	// slowStartStep is the time, from the first request after a pause, in which the
+	// requests that may start double. It is several times the duration of a short call, so that a
 	// server that is still full can say so before it gets more.
 	slowStartStep = 100 * time.Millisecond
 	// slowStartSteps is the number of steps after which the slow start ends. The last
@@ -51,16 +52,19 @@
 	if p.length == 0 {
 		return 0
 	}
-	left := p.remaining(now)
-	if left > 0 {
+	if left := p.remaining(now); left > 0 {
 		return left
 	}
-	for step := int(-left / slowStartStep); step < slowStartSteps; step++ {
+	if p.started == 0 {
+		return 0
+	}
+	since := max(now.Sub(p.firstAt), 0)
+	for step := int(since / slowStartStep); step < slowStartSteps; step++ {
 		if p.started < slowStartRequests<<step {
-			return max(left+time.Duration(step)*slowStartStep, 0)
+			return max(time.Duration(step)*slowStartStep-since, 0)
 		}
 	}
-	return max(left+slowStartSteps*slowStartStep, 0)
+	return max(slowStartSteps*slowStartStep-since, 0)
 }
 
 // start counts a request if one may start now, and reports whether it may.
@@ -69,6 +73,9 @@
 		return false
 	}
 	if p.length > 0 {
+		if p.started == 0 {
+			p.firstAt = now
+		}
 		p.started++
 	}
 	return true
--- a/internal/route/withholder/pause_test.go
+++ b/internal/route/withholder/pause_test.go
@@ -8,9 +8,9 @@
 )
 
 var (
-	start   = time.Unix(1_000_000, 0)
-	server  = withholder.Lifetime{Name: "i-1", ProcessStart: 7}
-	restart = withholder.Lifetime{Name: "i-1", ProcessStart: 8}
+	saidAt       = time.Unix(1_000_000, 0)
+	pausedServer = withholder.Lifetime{Name: "i-1", ProcessStart: 7}
+	nextProcess  = withholder.Lifetime{Name: "i-1", ProcessStart: 8}
 )
 
 const longestSpread = 500 * time.Millisecond
@@ -34,42 +34,45 @@
 	for _, test := range tests {
 		w := new(withholder.Withholder)
 		for _, s := range test.statements {
-			w.RecordPause(start.Add(s.at), server, s.length, withholder.FromRefusal)
+			w.RecordPause(saidAt.Add(s.at), pausedServer, s.length, withholder.FromRefusal)
 		}
 		for _, at := range []time.Duration{test.end - time.Millisecond, test.end - 200*time.Millisecond} {
-			if !w.IsWithheld(start.Add(at), server) || w.TryStart(start.Add(at), server) {
+			if !w.IsWithheld(saidAt.Add(at), pausedServer) || w.TryStart(saidAt.Add(at), pausedServer) {
 				t.Errorf("%s: got a request at %v, want none before %v", test.name, at, test.end)
 			}
 		}
-		if late := start.Add(test.end + longestSpread); w.IsWithheld(late, server) || !w.TryStart(late, server) {
-			t.Errorf("%s: got no request at %v, want one after %v", test.name, late.Sub(start), test.end)
+		if late := saidAt.Add(test.end + longestSpread); w.IsWithheld(late, pausedServer) || !w.TryStart(late, pausedServer) {
+			t.Errorf("%s: got no request at %v, want one after %v", test.name, late.Sub(saidAt), test.end)
 		}
-		if w.IsWithheld(start, restart) {
+		if w.IsWithheld(saidAt, nextProcess) {
 			t.Errorf("%s: got a pause of the next lifetime, want none", test.name)
 		}
 	}
 }
 
-// TestFewRequestsAfterPause guards against all waiting requests at once at a server
-// whose pause ends, and against a slow start that does not end.
+// TestFewRequestsAfterPause guards against all requests at once at a server whose pause
+// ends, also when the first ones come long after it, and against a slow start that does
+// not end.
 func TestFewRequestsAfterPause(t *testing.T) {
 	const length = time.Second
-	w := new(withholder.Withholder)
-	w.RecordPause(start, server, length, withholder.FromProbe)
-	end := start.Add(length + w.PauseOf(start.Add(length), server))
-	started := make([]int, 8)
-	for tenth := range started {
-		for ms := 0; ms < 100; ms += 5 {
-			for range 10 {
-				if w.TryStart(end.Add(time.Duration(100*tenth+ms)*time.Millisecond), server) {
-					started[tenth]++
+	for _, idle := range []time.Duration{0, 150 * time.Millisecond, time.Minute} {
+		w := new(withholder.Withholder)
+		w.RecordPause(saidAt, pausedServer, length, withholder.FromProbe)
+		first := saidAt.Add(length + w.PauseOf(saidAt.Add(length), pausedServer) + idle)
+		started := make([]int, 8)
+		for tenth := range started {
+			for ms := 0; ms < 100; ms += 5 {
+				for range 10 {
+					if w.TryStart(first.Add(time.Duration(100*tenth+ms)*time.Millisecond), pausedServer) {
+						started[tenth]++
+					}
 				}
 			}
 		}
-	}
-	for tenth, want := range []int{2, 2, 4, 8, 16, 200, 200, 200} {
-		if got := started[tenth]; got != want {
-			t.Errorf("got %d requests in tenth %d of a second after the pause, want %d", got, tenth, want)
+		for tenth, want := range []int{2, 2, 4, 8, 16, 200, 200, 200} {
+			if got := started[tenth]; got != want {
+				t.Errorf("%v after the pause: got %d requests in tenth %d of a second, want %d", idle, got, tenth, want)
+			}
 		}
 	}
 }
@@ -78,9 +81,9 @@
 // has also said that it leaves.
 func TestPauseOfLeavingServer(t *testing.T) {
 	w := new(withholder.Withholder)
-	w.RecordPause(start, server, time.Second, withholder.FromRefusal)
-	w.RecordLeaving(start, server, withholder.FromRefusal)
-	if late := start.Add(time.Hour); !w.IsWithheld(late, server) || w.TryStart(late, server) {
+	w.RecordPause(saidAt, pausedServer, time.Second, withholder.FromRefusal)
+	w.RecordLeaving(saidAt, pausedServer, withholder.FromRefusal)
+	if late := saidAt.Add(time.Hour); !w.IsWithheld(late, pausedServer) || w.TryStart(late, pausedServer) {
 		t.Error("got a request at a server that leaves, want none")
 	}
 }
