--- a/internal/route/acquirer/withheld_test.go
+++ b/internal/route/acquirer/withheld_test.go
@@ -223,6 +223,17 @@
 	checkWaitEnds(t, uninformed, uninformed.instances[0].Withholder, 0)
 }
 
+// waitingRequest is a request for a slot that waits.
+type waitingRequest struct {
+	client *acquirer.Client
+	result chan error
+}
+
+func (w *waitingRequest) run(ctx context.Context) {
+	_, err := w.client.Acquire(ctx, acquirer.Request{Service: "guidance", Rank: parser.Urgent, Deadline: time.Now().Add(time.Minute)})
+	w.result <- err
+}
+
 // checkWaitEnds lets a request of instance 0 wait and both servers leave by statements to
 // that instance. The servers have the given process start.
 func checkWaitEnds(t *testing.T, f *fleet, w *withholder.Withholder, processStart uint64) {
@@ -232,17 +243,14 @@
 	for range 4 {
 		slots = append(slots, acquireSlot(t, &entry.Client))
 	}
-	refused := make(chan error, 1)
-	go func() {
-		_, err := entry.Acquire(t.Context(), acquirer.Request{Service: "guidance", Rank: parser.Urgent, Deadline: time.Now().Add(time.Minute)})
-		refused <- err
-	}()
+	waiting := &waitingRequest{&entry.Client, make(chan error, 1)}
+	go waiting.run(t.Context())
 	time.Sleep(10 * time.Millisecond) // The request most likely waits then; the result is the same if not.
 	for i := range 2 {
 		w.RecordLeaving(time.Now(), withholder.Lifetime{Name: "a" + strconv.Itoa(i), ProcessStart: processStart}, withholder.FromRequest)
 	}
 	select {
-	case err := <-refused:
+	case err := <-waiting.result:
 		var r *acquirer.Refusal
 		if !errors.As(err, &r) || r.Reason != allocator.ReasonNone {
 			t.Errorf("got %v, want reason none", err)
