Prefer servers that do not refuse calls while they are free

A server that refuses more than a fifth of its calls although it reports free slots is now granted after all sound free servers, probed ones included.

--- a/internal/route/allocator/probing.go
+++ b/internal/route/allocator/probing.go
@@ -68,10 +68,10 @@
 // chooseByFreshReports returns the cheapest free server that is at normal speed by
 // a report of at most maxAge. If there is none, it starts probes of the free
 // servers without a usable report and returns nil while it waits for results. When
-// there are none to wait for, it considers the servers that may not be probed, and
-// then the slow ones.
+// there are none to wait for, it considers the servers that may not be probed, then
+// those that refuse calls while they are free, and then the slow ones.
 func (p *Pool) chooseByFreshReports(now time.Time, qr *queuedRequest, maxAge time.Duration) *tracker.Server {
-	var normal, slow, stale, unprobed []option
+	var normal, slow, stale, unprobed, refusing, staleRefusing []option
 	pending := 0
 	for _, s := range p.servers.Servers() {
 		if p.availableSlots(now, s) == 0 || s.InProbeBackoff(now) || slices.Contains(qr.Avoid, s.Address) {
@@ -80,7 +80,10 @@
 		o := p.serverOption(now, s)
 		slowdown, age, ok := s.Slowdown(now)
 		probeAge := s.PendingProbeAge(now)
+		isRefusing := p.servers.IsRefusing(now, s)
 		switch {
+		case isRefusing && ok && age <= maxAge && slowdown <= maxNormalSlowdown:
+			refusing = append(refusing, o)
 		case ok && age <= maxAge && slowdown <= maxNormalSlowdown:
 			normal = append(normal, o)
 		case ok && age <= maxHighSlowdownAge && slowdown > maxNormalSlowdown:
@@ -90,10 +93,15 @@
 		case p.MayProbe != nil && !p.MayProbe(now, s):
 			unprobed = append(unprobed, o)
 		case probeAge > 0: // The probe is late: do not wait for it and do not start another.
+		case isRefusing:
+			staleRefusing = append(staleRefusing, o)
 		default:
 			stale = append(stale, o)
 		}
 	}
+	if len(stale) == 0 && pending == 0 && len(refusing) == 0 {
+		stale = staleRefusing
+	}
 	p.awaitingProbes = false
 	if best, ok := cheapestOption(normal); ok {
 		return best.server
@@ -105,6 +113,9 @@
 	if best, ok := cheapestOption(unprobed); ok {
 		return best.server
 	}
+	if best, ok := cheapestOption(refusing); ok {
+		return best.server
+	}
 	return p.chooseSlowServer(now, qr, slow)
 }
 
--- a/internal/route/tracker/pool.go
+++ b/internal/route/tracker/pool.go
@@ -156,10 +156,14 @@
 func (p *Pool) updateHealth(now time.Time, s *Server, r Result) {
 	s.updateLatency(now, r)
 	if r.Refused {
+		hasFreeSlots := r.ReportedCalls >= 0 && r.ReportedCalls < p.maxLimit(s)
+		if hasFreeSlots {
+			s.countRefusal(now, p.Settings.FailureWindow)
+		}
 		if s.externalCalls > 0 && s.reportedAt.Equal(now) {
 			return // Calls that other instances granted filled the server, so the limit of this pool stays.
 		}
-		if r.ReportedCalls >= 0 && r.ReportedCalls < p.maxLimit(s) {
+		if hasFreeSlots {
 			// The server refuses calls although it has free slots, so a lower limit would not help.
 			s.successStreak = 0
 			return
--- a/internal/route/tracker/server.go
+++ b/internal/route/tracker/server.go
@@ -42,8 +42,9 @@
 	Unsent bool          // No probe was sent, so nothing is known and another may start.
 }
 
-// resultCounts holds the number of results and failures in one half of the failure window.
-type resultCounts struct{ results, failures float64 }
+// resultCounts holds the number of results and failures in one half of the failure
+// window, and of the refusals by a server that reported free slots, which are no results.
+type resultCounts struct{ results, failures, refusals float64 }
 
 // Server is the state of one backend server. It is owned and updated by a Pool.
 type Server struct {
