Report the load of a pool in replies to entries

Cause: an entry knows nothing of a pool except whether its own request waits, so a call that waits for 1 ms asks the pools of all zones, and in overload each home counts the same demand.

Change: with Allocator.ReportLoad, the replies Offer, Queued and Refuse carry the arrival rate, the work of a call, effective and free slots and the expected wait of each rank, at most every 100 ms for each entry and pool. The mark Ask.extra keeps calls that asked another pool first out of the arrival rate until they get a slot. Nothing sets ReportLoad yet.

Result: go test -race of allocator and messenger passes.

--- a/internal/route/allocator/allocator.go
+++ b/internal/route/allocator/allocator.go
@@ -24,6 +24,9 @@
 	// block; its result is passed to RecordProbe. nil means that servers cannot
 	// be probed.
 	StartProbe func(service string, server netip.AddrPort)
+	// ReportLoad makes replies carry the load of their pool, by which entries divide
+	// calls between zones.
+	ReportLoad bool
 	// Withholder receives what entries report of leaving backend servers. RoutingTable
 	// then shows these servers as leaving. It also says which servers want no probes
 	// of this instance. nil ignores the reports and allows all probes.
@@ -166,7 +169,7 @@
 		al.pools = make(map[PoolKey]*poolWorker)
 	}
 	w := &poolWorker{
-		pool: Pool{Key: k, Audit: al.Audit}, routingTable: al.RoutingTable, startProbe: al.StartProbe, withholder: al.Withholder,
+		pool: Pool{Key: k, Audit: al.Audit, ReportLoad: al.ReportLoad}, routingTable: al.RoutingTable, startProbe: al.StartProbe, withholder: al.Withholder,
 		commands: make(chan *command, maxPendingCommands), quit: make(chan struct{}),
 	}
 	if al.StartProbe != nil {
--- a/internal/route/allocator/dispatch.go
+++ b/internal/route/allocator/dispatch.go
@@ -118,7 +118,7 @@
 		p.removeQueued(qr.ID)
 		p.grantSlot(now, s, qr.SlotRequest)
 		p.updateCredits(r)
-		reply := Reply{Number: qr.Number, Kind: ReplyOffered, Server: s.Address, MayKeep: p.canKeepSlots(now)}
+		reply := Reply{Number: qr.Number, Kind: ReplyOffered, Server: s.Address, MayKeep: p.canKeepSlots(now), Load: p.currentLoad(now)}
 		if slowdown, age, ok := s.Slowdown(now); ok {
 			reply.Slowdown, reply.SlowdownAge = slowdown, age
 		}
@@ -258,7 +258,7 @@
 		jitter = randomJitter
 	}
 	after = time.Duration(float64(after) * jitter())
-	req.Owner.ReceiveReply(Reply{Number: req.Number, Kind: ReplyRefused, Reason: reason, RetryAfter: after})
+	req.Owner.ReceiveReply(Reply{Number: req.Number, Kind: ReplyRefused, Reason: reason, RetryAfter: after, Load: p.currentLoad(now)})
 }
 
 func randomJitter() float64 { return 0.5 + rand.Float64() }
--- a/internal/route/allocator/pool.go
+++ b/internal/route/allocator/pool.go
@@ -26,6 +26,8 @@
 	// MayProbe reports whether a server may be probed now; nil means always. A server
 	// that this instance may not probe is still granted to others.
 	MayProbe func(time.Time, *tracker.Server) bool
+	// ReportLoad makes replies carry the load of the pool.
+	ReportLoad bool
 
 	servers         tracker.Pool
 	config          parser.Service
@@ -33,6 +35,7 @@
 	queues          [parser.RankCount]queue
 	routeWork       workEstimates
 	nearlyFull      nearlyFullEstimator
+	load            loadReporter
 	queued          map[ID]*list.Element
 	grants          map[ID]*grant
 	keptCount       int       // Number of grants kept by entries between calls.
@@ -166,6 +169,9 @@
 		req.Target = req.Deadline
 	}
 	req.assumedWork = time.Duration(assumedWorkShare * float64(req.Target.Sub(now)))
+	if !req.Extra {
+		p.countArrival(now, req)
+	}
 	if req.Target.After(req.Deadline) {
 		req.Target = req.Deadline
 	}
@@ -197,7 +203,7 @@
 		return
 	}
 	if !p.probePending(now) {
-		qr.notifyQueued()
+		p.notifyQueued(now, qr)
 	}
 }
 
@@ -298,6 +304,9 @@
 func (p *Pool) grantSlot(now time.Time, s *tracker.Server, req SlotRequest) {
 	slowdown, _, _ := s.Slowdown(now)
 	p.servers.StartCall(s)
+	if req.Extra {
+		p.countArrival(now, req)
+	}
 	p.grants[req.ID] = &grant{
 		server: s, rank: req.Rank, route: req.Route, assumedWork: req.assumedWork, grantedAt: now, deadline: req.Deadline,
 		slowdown: slowdown, nearlyFullTime: p.updateNearlyFullTime(now, s),
--- a/internal/route/allocator/probing.go
+++ b/internal/route/allocator/probing.go
@@ -200,10 +200,10 @@
 }
 
 // notifyQueued tells the owner, once, that its request waits.
-func (qr *queuedRequest) notifyQueued() {
+func (p *Pool) notifyQueued(now time.Time, qr *queuedRequest) {
 	if !qr.notified {
 		qr.notified = true
-		qr.Owner.ReceiveReply(Reply{Number: qr.Number, Kind: ReplyQueued})
+		qr.Owner.ReceiveReply(Reply{Number: qr.Number, Kind: ReplyQueued, Load: p.currentLoad(now)})
 	}
 }
 
@@ -215,6 +215,6 @@
 		return
 	}
 	for _, e := range p.queued {
-		e.Value.(*queuedRequest).notifyQueued()
+		p.notifyQueued(now, e.Value.(*queuedRequest))
 	}
 }
--- a/internal/route/allocator/request.go
+++ b/internal/route/allocator/request.go
@@ -36,6 +36,7 @@
 	Deadline time.Time
 	Target   time.Time        // Time by which the caller prefers an answer; zero means the deadline.
 	Avoid    []netip.AddrPort // Backend servers that the call must not use.
+	Extra    bool             // The call asked another pool first.
 
 	assumedWork time.Duration // Work that is assumed while no call of the route or rank has ended.
 }
@@ -61,4 +62,5 @@
 	MayKeep     bool          // The entry may keep the slot for its next call.
 	Reason      string
 	RetryAfter  time.Duration // Suggested delay before a retry of a refused request.
+	Load        *Load         // Load of the pool; nil when it is not reported.
 }
--- a/internal/route/allocator/session.go
+++ b/internal/route/allocator/session.go
@@ -26,6 +26,7 @@
 
 	mu    sync.Mutex
 	pools map[uint64]PoolKey // Pool of each open request and grant, by number.
+	loads loadLimiter
 }
 
 var _ ReplyReceiver = (*session)(nil)
@@ -113,7 +114,7 @@
 	}
 	s.allocator.RequestSlot(key, SlotRequest{
 		ID: ID{s, a.Number}, Rank: decodeRank(a.Rank), Route: a.Route, Deadline: now.Add(time.Duration(a.Left)),
-		Target: now.Add(time.Duration(a.Target)), Avoid: avoid,
+		Target: now.Add(time.Duration(a.Target)), Avoid: avoid, Extra: a.Extra,
 	})
 	return nil
 }
@@ -157,21 +158,29 @@
 // ReceiveReply queues the reply of a pool to be sent to the entry.
 func (s *session) ReceiveReply(r Reply) {
 	m := new(messenger.Grant)
+	load := encodeLoad(s.limitLoad(time.Now(), r))
 	switch r.Kind {
 	case ReplyQueued:
-		m.Kind = &messenger.Grant_Queued{Queued: &messenger.Queued{Number: r.Number}}
+		m.Kind = &messenger.Grant_Queued{Queued: &messenger.Queued{Number: r.Number, Load: load}}
 	case ReplyOffered:
 		server, _ := r.Server.MarshalBinary() // MarshalBinary never fails.
-		m.Kind = &messenger.Grant_Offer{Offer: &messenger.Offer{Number: r.Number, Server: server, Keep: r.MayKeep, Pace: r.Slowdown, Age: int64(r.SlowdownAge)}}
+		m.Kind = &messenger.Grant_Offer{Offer: &messenger.Offer{Number: r.Number, Server: server, Keep: r.MayKeep, Pace: r.Slowdown, Age: int64(r.SlowdownAge), Load: load}}
 	case ReplyRecalled:
 		m.Kind = &messenger.Grant_Recall{Recall: &messenger.Recall{Number: r.Number}}
 	case ReplyRefused:
 		s.unbindPool(r.Number)
-		m.Kind = &messenger.Grant_Refuse{Refuse: &messenger.Refuse{Number: r.Number, Reason: r.Reason, After: int64(r.RetryAfter)}}
+		m.Kind = &messenger.Grant_Refuse{Refuse: &messenger.Refuse{Number: r.Number, Reason: r.Reason, After: int64(r.RetryAfter), Load: load}}
 	}
 	s.outbox.Enqueue(m)
 }
 
+// limitLoad returns the load in r unless it was sent shortly before.
+func (s *session) limitLoad(now time.Time, r Reply) *Load {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.loads.limit(now, s.pools[r.Number], r.Load)
+}
+
 func decodeResult(d *messenger.Done) tracker.Result {
 	return tracker.Result{
 		Failed: d.Failed, Refused: d.Refused, Drain: d.Drain, Unanswered: d.Lost,
