Divide calls between zones by the setting zones.price

Callers saw calls cross a zone for a wait of 1 ms, and requests that waited in the queues of all zones at once.

Change: with the setting zones.price, homes report their load and the entry asks the pools that package route/balancer chooses; a failed ask or stream drops the shares of its pools. The first offer still wins and the other asks are cancelled. Without the setting all asks are as before.

--- a/internal/call/retrier/body.go
+++ b/internal/call/retrier/body.go
@@ -23,7 +23,8 @@
 	current   *bodyReader
 	truncated bool // Bytes after the first MaxReplayBytes are not buffered.
 
-	ended atomic.Bool // Source returned io.EOF.
+	ended    atomic.Bool  // Source returned io.EOF.
+	received atomic.Int64 // Bytes read from Source.
 
 	readMu    sync.Mutex // Guards buffered and sourceErr; held during a read from Source.
 	buffered  []byte
@@ -53,6 +54,9 @@
 // Ended reports whether Source was read to its end.
 func (b *Body) Ended() bool { return b.Source == http.NoBody || b.ended.Load() }
 
+// ReceivedBytes returns the number of bytes read from Source.
+func (b *Body) ReceivedBytes() int64 { return b.received.Load() }
+
 // bodyReader reads a Body from its start.
 type bodyReader struct {
 	body   *Body
@@ -89,10 +93,12 @@
 			return 0, errReaderReplaced
 		}
 		n, err := b.Source.Read(p)
+		b.received.Add(int64(n))
 		b.ended.Store(err == io.EOF)
 		return n, err
 	}
 	n, err := b.Source.Read(p[:min(len(p), remaining)])
+	b.received.Add(int64(n))
 	b.buffered = append(b.buffered, p[:n]...)
 	r.offset += n
 	if err != nil {
--- a/internal/config/parser/check.go
+++ b/internal/config/parser/check.go
@@ -136,6 +136,7 @@
 	checkRange(c, "retry.ratio", s.Retry.Ratio, 0, 1)
 	checkRange(c, "retry.slack", s.Retry.Slack, 0, math.MaxInt)
 	checkRange(c, "retry.window", s.Retry.Window, Duration(time.Second), Duration(time.Hour))
+	checkRange(c, "zones.price", s.Zones.Price, 0, Duration(time.Hour))
 	for i, seed := range s.Seeds {
 		if !seed.IsValid() || seed.Port() == 0 {
 			c.addMistake(joinPath("seeds", strconv.Itoa(i)), "%q is not an IP address with a port above 0", seed)
--- a/internal/instance/runner/active_call.go
+++ b/internal/instance/runner/active_call.go
@@ -91,7 +91,7 @@
 	a.trace.addAttempt(attempt.Number, slot, name, time.Since(outgoing.SentAt), resp, err)
 	result := a.attemptResult(resp, err, time.Since(outgoing.SentAt))
 	if err == nil {
-		response := &serverResponse{resp: resp, slot: slot, result: result}
+		response := &serverResponse{resp: resp, slot: slot, result: result, requestBytes: a.body.ReceivedBytes, responseBytes: responseBytes(a.r, resp)}
 		if !a.shouldRetryResponse(attempt, resp) {
 			return response, nil
 		}
@@ -143,10 +143,13 @@
 	resp   *http.Response
 	slot   *acquirer.Slot
 	result acquirer.Result
+
+	requestBytes, responseBytes func() int64 // Bytes of the bodies so far.
 }
 
 func (s *serverResponse) releaseSlot() {
 	if s.slot != nil {
+		s.slot.RecordBytes(s.requestBytes() + s.responseBytes())
 		s.slot.Release(s.result)
 	}
 }
--- a/internal/instance/runner/components.go
+++ b/internal/instance/runner/components.go
@@ -136,6 +136,7 @@
 		Allocator: &c.allocator, Fleet: &c.members, StreamOpener: &c.connector, Policy: slotPolicies[s.Policy], Withholder: &c.withholder,
 		NoSlotReuse: c.platform != nil, // A slot kept from an earlier call would be used without a recent load report of its server.
 	}
+	c.initZones()
 	c.prober = prober.Prober{InstanceName: s.Name, CurrentView: c.currentProbeView, IsIdle: c.isServerIdle, MayProbe: c.mayProbe, FindLifetime: c.findLifetime, ReportResult: c.deliverProbeResult, Log: c.log}
 }
 
--- a/internal/operator/meter/metrics.go
+++ b/internal/operator/meter/metrics.go
@@ -16,6 +16,8 @@
 	SlotWaitSeconds *prometheus.HistogramVec // Time that an attempt waited for a slot, by service and rank.
 	Refusals        *prometheus.CounterVec   // Requests that were refused before they had a service, by reason.
 	Pauses          *prometheus.CounterVec   // Pauses that backend servers asked for, by the kind of the response.
+	ZoneAsks        *prometheus.CounterVec   // Requests for slots, by service and zone of the pool: own or other.
+	ZoneBytes       *prometheus.CounterVec   // Bytes of bodies of requests and responses, by service and zone of the backend server.
 	LeavingSigns    *prometheus.CounterVec   // Processes of backend servers that became known to be leaving, by source.
 }
 
@@ -37,6 +39,12 @@
 		Pauses: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "sardinelever_pauses_total", Help: "Pauses that backend servers asked for or extended, by the kind of the response.",
 		}, []string{"source"}),
+		ZoneAsks: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "sardinelever_zone_asks_total", Help: "Requests for slots to homes of pools, by zone of the pool: own or other.",
+		}, []string{"service", "zone"}),
+		ZoneBytes: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "sardinelever_zone_bytes_total", Help: "Bytes of bodies of requests and responses, by zone of the backend server: own or other.",
+		}, []string{"service", "zone"}),
 		LeavingSigns: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "sardinelever_leaving_total", Help: "Backend servers that stated that they are leaving, by source: request, refusal, late, probe, instance.",
 		}, []string{"source"}),
@@ -44,7 +52,7 @@
 	panics := prometheus.NewCounterFunc(prometheus.CounterOpts{
 		Name: "sardinelever_panics_total", Help: "Panics that ended one call, stream or message.",
 	}, func() float64 { return float64(recoverer.Count()) })
-	r.MustRegister(panics, m.Calls, m.CallSeconds, m.Attempts, m.SlotWaitSeconds, m.Refusals, m.Pauses, m.LeavingSigns,
+	r.MustRegister(panics, m.Calls, m.CallSeconds, m.Attempts, m.SlotWaitSeconds, m.Refusals, m.Pauses, m.LeavingSigns, m.ZoneAsks, m.ZoneBytes,
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	return m
 }
--- a/internal/route/acquirer/acquisition.go
+++ b/internal/route/acquirer/acquisition.go
@@ -29,6 +29,7 @@
 	pool        pool
 	number      uint64
 	home        home
+	extra       bool     // The call asked another pool first; used to divide calls between zones.
 	triedHomes  []string // Names of the homes to which the ask was sent, or that could not be reached.
 	sentAt      time.Time
 
@@ -48,6 +49,7 @@
 // receiveFrom handles a reply of h. It ignores h when the ask has gone to another home.
 func (p *poolAsk) receiveFrom(h home, r allocator.Reply) {
 	a := p.acquisition
+	a.client.observeReply(p, h, r)
 	a.mu.Lock()
 	if p.home == h && p.state <= stateQueued {
 		switch r.Kind {
@@ -75,17 +77,18 @@
 		p.state = stateStreamBroken
 	}
 	a.mu.Unlock()
+	a.client.failPool(p.pool.key)
 	a.notify()
 }
 
 // acquisition is one call of Acquire. It asks the homes of one or more pools and
 // accepts the first offer.
 type acquisition struct {
-	client      *Client
-	request     Request
-	wake        chan struct{} // Signals awaitSlot that an ask has changed; has a buffer of 1.
-	othersAsked bool          // The homes of otherPools were asked.
-	otherPools  []pool        // Pools to ask once the first has no free slot.
+	client     *Client
+	request    Request
+	wake       chan struct{}    // Signals awaitSlot that an ask has changed; has a buffer of 1.
+	otherPools []pool           // Pools that may be asked once the first has no free slot.
+	recheck    <-chan time.Time // Signals awaitSlot that more of otherPools may be worth asking.
 
 	mu       sync.Mutex
 	asks     []*poolAsk
@@ -104,7 +107,7 @@
 // awaitSlot asks the first pool and returns when there is a slot, all homes have
 // refused, the deadline has passed or ctx is done.
 func (a *acquisition) awaitSlot(ctx context.Context) (*Slot, error) {
-	first, others, ok := a.client.poolsOf(a.request.Service).choosePools()
+	first, others, ok := a.client.choosePools(&a.request)
 	if !ok {
 		return nil, &Refusal{Reason: allocator.ReasonNone, RetryAfter: time.Second}
 	}
@@ -120,6 +123,11 @@
 		select {
 		case <-statements:
 			statements = a.client.Withholder.Changed()
+		case <-a.recheck:
+			a.recheck = nil
+			if s, err := a.processReplies(); s != nil || err != nil {
+				return s, err
+			}
 		case <-a.wake:
 			if s, err := a.processReplies(); s != nil || err != nil {
 				return s, err
@@ -140,7 +148,9 @@
 // askPool requests a slot from the home of pool to.
 func (a *acquisition) askPool(to pool) {
 	p := &poolAsk{acquisition: a, pool: to}
+	a.client.countAsk(to.key)
 	a.mu.Lock()
+	p.extra = a.client.Balancer != nil && len(a.asks) > 0
 	a.asks = append(a.asks, p)
 	a.mu.Unlock()
 	a.askNextHome(p)
@@ -161,12 +171,13 @@
 		if h.sendAsk(p) {
 			return
 		}
+		a.client.failPool(p.pool.key)
 	}
 }
 
 // processReplies returns the slot when there is an offer, and the refusal when no
 // ask is open. Otherwise it returns neither: it repeats the asks whose streams
-// broke, and asks the other pools once a home has queued or refused an ask.
+// broke, and asks other pools once a home has queued or refused an ask.
 func (a *acquisition) processReplies() (*Slot, error) {
 	a.mu.Lock()
 	accepted := a.accepted
@@ -190,12 +201,8 @@
 	for _, p := range interrupted {
 		a.askNextHome(p)
 	}
-	if replied && !a.othersAsked {
-		a.othersAsked = true
-		for _, p := range a.otherPools {
-			a.askPool(p)
-		}
-		open += len(a.otherPools)
+	if replied {
+		open += a.askOthers()
 	}
 	if open+len(interrupted) == 0 {
 		return nil, a.combinedRefusal()
--- a/internal/route/acquirer/client.go
+++ b/internal/route/acquirer/client.go
@@ -12,7 +12,9 @@
 	"sardinelever.example/sardinelever/internal/config/parser"
 	"sardinelever.example/sardinelever/internal/fleet/connector"
 	"sardinelever.example/sardinelever/internal/fleet/registrar"
+	"sardinelever.example/sardinelever/internal/operator/meter"
 	"sardinelever.example/sardinelever/internal/route/allocator"
+	"sardinelever.example/sardinelever/internal/route/balancer"
 	"sardinelever.example/sardinelever/internal/route/router"
 	"sardinelever.example/sardinelever/internal/route/tracker"
 	"sardinelever.example/sardinelever/internal/route/withholder"
@@ -70,6 +72,11 @@
 	// Withholder says which backend servers get no calls of this instance. nil means none.
 	Withholder *withholder.Withholder
 
+	// Balancer divides calls between zones. nil means that calls ask the own zone
+	// first and, when it has no free slot, all others.
+	Balancer *balancer.Balancer
+	Metrics  *meter.Metrics // nil discards the counts.
+
 	setupOnce  sync.Once
 	localHome  localHome
 	lastNumber atomic.Uint64 // Number of the last ask.
--- a/internal/route/acquirer/encoding.go
+++ b/internal/route/acquirer/encoding.go
@@ -21,7 +21,7 @@
 	req := &p.acquisition.request
 	m := &messenger.Ask{
 		Number: p.number, Pool: encodePool(p.pool.key), Rank: uint32(req.Rank), Left: int64(time.Until(req.Deadline)),
-		Target: int64(time.Until(req.Target)), Route: req.Route,
+		Target: int64(time.Until(req.Target)), Route: req.Route, Extra: p.extra,
 	}
 	for _, addr := range req.Avoid {
 		b, _ := addr.MarshalBinary() // The error is always nil.
@@ -67,14 +67,16 @@
 			return r, false, errors.Wrap(messenger.ErrInvalidMessage, err.Error())
 		}
 		r.MayKeep, r.Slowdown, r.SlowdownAge = k.Offer.Keep, k.Offer.Pace, time.Duration(k.Offer.Age)
+		r.Load = allocator.DecodeLoad(k.Offer.Load)
 	case *messenger.Grant_Recall:
 		r = allocator.Reply{Number: k.Recall.Number, Kind: allocator.ReplyRecalled}
 	case *messenger.Grant_Queued:
-		r = allocator.Reply{Number: k.Queued.Number, Kind: allocator.ReplyQueued}
+		r = allocator.Reply{Number: k.Queued.Number, Kind: allocator.ReplyQueued, Load: allocator.DecodeLoad(k.Queued.Load)}
 	case *messenger.Grant_Refuse:
 		r = allocator.Reply{
 			Number: k.Refuse.Number, Kind: allocator.ReplyRefused,
 			Reason: k.Refuse.Reason, RetryAfter: time.Duration(k.Refuse.After),
+			Load: allocator.DecodeLoad(k.Refuse.Load),
 		}
 	default:
 		return r, false, nil
--- a/internal/route/acquirer/grantstream.go
+++ b/internal/route/acquirer/grantstream.go
@@ -23,6 +23,7 @@
 type grantStream struct {
 	client *Client
 	name   string         // Name of the home.
+	zone   string         // Zone of the home.
 	peer   netip.AddrPort // Peer address of the home.
 	outbox allocator.Outbox
 
@@ -38,7 +39,7 @@
 
 func newGrantStream(c *Client, m registrar.Member) *grantStream {
 	return &grantStream{
-		client: c, name: m.Name, peer: m.PeerAddr, asks: make(map[uint64]*poolAsk), slots: make(map[uint64]*Slot),
+		client: c, name: m.Name, zone: m.Zone, peer: m.PeerAddr, asks: make(map[uint64]*poolAsk), slots: make(map[uint64]*Slot),
 		kept: make(map[uint64]*keptSlot), mayKeep: make(map[allocator.PoolKey]bool),
 	}
 }
@@ -143,6 +144,7 @@
 		_ = conn.Close()
 	}
 	g.client.removeStream(g)
+	g.client.failPoolsOf(g)
 	g.client.Fleet.ReportFailure(g.name)
 	log.Warn().Str("home", g.name).Err(err).Int("asks", len(asks)).Int("slots", len(slots)).Msg("route: grant stream broke")
 	for _, s := range slots {
