Ask the own zone when another one asked first is silent

Callers whose call was sent first to a zone that was then cut off waited up to 500 ms, until the stream to its home failed, before their own zone was asked.

Cause: other pools are asked only after a reply of the first one.

Change: without a reply of a home in another zone within 50 ms, or when its stream breaks, the other pools are asked and the shares of that pool drop. Slots in another zone are not kept for the next call while zones.price is set.

--- a/internal/config/parser/parser_test.go
+++ b/internal/config/parser/parser_test.go
@@ -125,6 +125,8 @@
 		{base + "plain = true\noperator = \"10.0.0.1:81\"", "f:7: operator: 10.0.0.1:81 is already used by peers"},
 		{base + "plain = true\nnotice = \"-1s\"", "f:7: notice: -1s is not between 1ms and 1h0m0s"},
 		{base + "plain = true\nmargin = \"-1h\"", "f:7: margin: -1h0m0s is not between 15s and 10m0s"},
+		{base + "plain = true\n[zones]\nprice = \"0s\"", ""},
+		{base + "plain = true\n[zones]\nprice = \"2h\"", "f:8: zones.price: 2h0m0s is not between 0s and 1h0m0s"},
 		{base + "plain = true\npolicy = \"fair\"", "f:7: policy: \"fair\" is none of grant, random, round, least"},
 		{base + "plain = true\nlevel = \"loud\"", "f:7: level: \"loud\" is none of debug, info, warn, error"},
 		{"plain = true\ncallers = \"host:80\"\npeers = \"0.0.0.0:1\"\nplatform = \"p\"", "f: name: is required\nf: zone: is required\nf:2: callers: "},
--- a/internal/instance/runner/zones.go
+++ b/internal/instance/runner/zones.go
@@ -1,6 +1,7 @@
 package runner
 
 import (
+	"cmp"
 	"fmt"
 	"io"
 	"net/http"
@@ -37,7 +38,7 @@
 		if len(shares) == 0 {
 			shares = append(shares, "none")
 		}
-		_, _ = fmt.Fprintf(w, "zones\t%s\t%s\tbytes=%d\tshares=%s\n", r.Service, r.Route, r.Bytes, strings.Join(shares, ","))
+		_, _ = fmt.Fprintf(w, "zones\t%s\t%s\tbytes=%d\tshares=%s\n", r.Service, cmp.Or(r.Route, "-"), r.Bytes, strings.Join(shares, ","))
 	}
 }
 
--- a/internal/route/acquirer/acquisition.go
+++ b/internal/route/acquirer/acquisition.go
@@ -89,6 +89,7 @@
 	wake       chan struct{}    // Signals awaitSlot that an ask has changed; has a buffer of 1.
 	otherPools []pool           // Pools that may be asked once the first has no free slot.
 	recheck    <-chan time.Time // Signals awaitSlot that more of otherPools may be worth asking.
+	overdue    bool             // The first pool, in another zone, has not replied in time or its stream broke.
 
 	mu       sync.Mutex
 	asks     []*poolAsk
@@ -113,6 +114,7 @@
 	}
 	a.otherPools = others
 	a.askPool(first)
+	a.watchReplyFromOutside(first)
 	t := time.NewTimer(min(replyTimeout, time.Until(a.request.Deadline)))
 	defer t.Stop()
 	statements := a.client.Withholder.Changed()
@@ -124,7 +126,7 @@
 		case <-statements:
 			statements = a.client.Withholder.Changed()
 		case <-a.recheck:
-			a.recheck = nil
+			a.handleRecheck()
 			if s, err := a.processReplies(); s != nil || err != nil {
 				return s, err
 			}
@@ -199,9 +201,10 @@
 		return a.accept(accepted), nil
 	}
 	for _, p := range interrupted {
+		a.overdue = a.overdue || a.client.isOutside(p.pool)
 		a.askNextHome(p)
 	}
-	if replied {
+	if replied || a.overdue {
 		open += a.askOthers()
 	}
 	if open+len(interrupted) == 0 {
--- a/internal/route/acquirer/slotcache.go
+++ b/internal/route/acquirer/slotcache.go
@@ -53,14 +53,16 @@
 
 // keepSlot keeps the slot of a call that has ended and reports whether it did. It
 // requires a latency that observeLatency accepts, an answer of the server, exactly one
-// home that counts the slot, and the permission of this home. After a failed or
-// refused call or a drain notice, it gives back the kept slots of the server instead.
+// home that counts the slot, and the permission of this home. With a Balancer, a slot in
+// another zone is not kept, because the next call may not be worth the crossing. After a
+// failed or refused call or a drain notice, it gives back the kept slots of the server
+// instead.
 func (c *slotCache) keepSlot(s *Slot, r Result) bool {
 	if r.Failed || r.Refused || r.Drain {
 		c.dropServer(s.ask.acquisition.request.Service, s.Server)
 		return false
 	}
-	if r.Unanswered || len(s.homes) != 1 || s.ask.acquisition.client.NoSlotReuse {
+	if r.Unanswered || len(s.homes) != 1 || s.ask.acquisition.client.NoSlotReuse || s.ask.acquisition.client.isOutside(s.ask.pool) {
 		return false
 	}
 	g, ok := s.homes[0].(*grantStream)
--- a/internal/route/acquirer/zones.go
+++ b/internal/route/acquirer/zones.go
@@ -47,6 +47,35 @@
 	return balancer.Call{Service: req.Service, Route: req.Route, Rank: req.Rank, Target: req.Target, Deadline: req.Deadline}
 }
 
+// outsideReplyTimeout is the time within which a pool of another zone that is asked
+// first must reply, before the own zone is asked too. It covers a round trip and the
+// probes of a home, and leaves time for the call to meet its target.
+const outsideReplyTimeout = 50 * time.Millisecond
+
+// isOutside reports whether the Balancer treats p as a pool of another zone.
+func (c *Client) isOutside(p pool) bool { return c.Balancer != nil && p.key.Zone != c.Zone }
+
+// watchReplyFromOutside makes awaitSlot look for other pools when first is in another
+// zone and does not reply.
+func (a *acquisition) watchReplyFromOutside(first pool) {
+	if a.client.isOutside(first) {
+		a.recheck = time.After(outsideReplyTimeout)
+	}
+}
+
+// handleRecheck notes at the end of a.recheck whether the first pool still owes a reply.
+func (a *acquisition) handleRecheck() {
+	a.recheck = nil
+	a.mu.Lock()
+	first := a.asks[0]
+	overdue := first.state == stateSent && a.client.isOutside(first.pool)
+	a.mu.Unlock()
+	if overdue && !a.overdue {
+		a.overdue = true
+		a.client.failPool(first.pool.key)
+	}
+}
+
 // askOthers asks those of otherPools that are worth it, which are all without a
 // Balancer, and returns their number.
 func (a *acquisition) askOthers() int {
--- a/internal/route/acquirer/zones_test.go
+++ b/internal/route/acquirer/zones_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"sardinelever.example/sardinelever/internal/route/acquirer"
+	"sardinelever.example/sardinelever/internal/route/allocator"
 	"sardinelever.example/sardinelever/internal/route/balancer"
 )
 
@@ -114,3 +115,33 @@
 	own[1].Release(acquirer.Result{ReportedCalls: -1})
 	waitForSlotsInUse(t, f.instances, 0)
 }
+
+// TestOtherZoneSilent guards against calls that wait for a home in another zone which
+// was cut off without a sign while part of the calls was sent there first.
+func TestOtherZoneSilent(t *testing.T) {
+	f := newZonedFleet(time.Second)
+	for _, in := range f.instances[2:] {
+		f.silent[in.Name] = true
+	}
+	entry := f.instances[0]
+	entry.Balancer.Random = func() float64 { return 0 }
+	own, other := allocator.PoolKey{Service: "guidance", Zone: "a"}, allocator.PoolKey{Service: "guidance", Zone: "b"}
+	for now := time.Now().Add(-time.Second); now.Before(time.Now()); now = now.Add(100 * time.Millisecond) {
+		entry.Balancer.Observe(now, own, allocator.Load{Rate: 100, Work: 100 * time.Millisecond, Slots: 2, Waits: [3]time.Duration{time.Second, time.Second, time.Second}})
+		entry.Balancer.Observe(now, other, allocator.Load{Rate: 1, Work: 100 * time.Millisecond, Slots: 2, Free: 2})
+		entry.Balancer.Choose(now, balancer.Call{Service: "guidance"}, []allocator.PoolKey{own}, []allocator.PoolKey{other})
+	}
+	start := time.Now()
+	s := acquireSlot(t, &entry.Client)
+	if took := time.Since(start); took >= 500*time.Millisecond {
+		t.Errorf("got a slot after %v, want one before the stream to the silent home fails after 500ms", took)
+	}
+	if s.Server != loopbackAddr(0, 0) {
+		t.Errorf("got a slot of %v, want one of the own zone", s.Server)
+	}
+	if st := entry.Balancer.RouteStatuses(time.Now()); len(st) != 1 || len(st[0].Shares) > 0 {
+		t.Errorf("shares: got %v, want none", st)
+	}
+	s.Release(acquirer.Result{ReportedCalls: -1})
+	waitForSlotsInUse(t, f.instances, 0)
+}
