Bound the times in the load that another instance reports

Callers saw nothing of it. A reported work or wait near the largest integer would overflow in sums with other times, and a call would then be sent by a negative wait. Times above an hour now count as an hour.

--- a/internal/route/allocator/load_report.go
+++ b/internal/route/allocator/load_report.go
@@ -27,6 +27,9 @@
 	maxLoadAge = 20 * time.Millisecond
 	// loadPeriod is the time between two reports of the load of a pool to one entry.
 	loadPeriod = 100 * time.Millisecond
+	// maxLoadTime limits the times in a load that another instance reports, so that
+	// sums of them do not overflow.
+	maxLoadTime = time.Hour
 )
 
 // loadReporter holds what the load of a pool is computed from.
@@ -116,13 +119,13 @@
 	if m == nil {
 		return nil
 	}
-	l := &Load{Rate: float64(m.Rate), Slots: float64(m.Slots), Free: int(m.Free), Work: time.Duration(m.Work)}
+	l := &Load{Rate: float64(m.Rate), Slots: float64(m.Slots), Free: int(m.Free), Work: min(time.Duration(m.Work), maxLoadTime)}
 	if !(l.Rate >= 0 && l.Slots >= 0 && l.Free >= 0 && l.Work >= 0) || math.IsInf(l.Rate, 0) || math.IsInf(l.Slots, 0) {
 		return nil
 	}
 	for r := range l.Waits {
 		if r < len(m.Waits) {
-			l.Waits[r] = max(time.Duration(m.Waits[r]), 0)
+			l.Waits[r] = min(max(time.Duration(m.Waits[r]), 0), maxLoadTime)
 		}
 	}
 	return l
--- a/internal/route/allocator/load_report_test.go
+++ b/internal/route/allocator/load_report_test.go
@@ -1,6 +1,7 @@
 package allocator_test
 
 import (
+	"math"
 	"testing"
 	"time"
 
@@ -47,8 +48,8 @@
 	if l := allocator.DecodeLoad(&messenger.Load{Rate: -1}); l != nil {
 		t.Errorf("negative rate: got %+v, want none", l)
 	}
-	l := allocator.DecodeLoad(&messenger.Load{Slots: 2, Waits: []int64{5, -5}})
-	if l == nil || l.Slots != 2 || l.Waits != [parser.RankCount]time.Duration{5, 0, 0} {
-		t.Errorf("got %+v, want 2 slots and one wait of 5ns", l)
+	l := allocator.DecodeLoad(&messenger.Load{Slots: 2, Work: math.MaxInt64, Waits: []int64{5, -5}})
+	if l == nil || l.Slots != 2 || l.Waits != [parser.RankCount]time.Duration{5, 0, 0} || l.Work > time.Hour {
+		t.Errorf("got %+v, want 2 slots, one wait of 5ns and work of at most an hour", l)
 	}
 }
