Test that a waiting call crosses once it has waited for the price

Guards against a call that stays in its own zone because the wait that the home expects is short, although the calls there do not end.

--- a/internal/route/acquirer/zones_test.go
+++ b/internal/route/acquirer/zones_test.go
@@ -84,6 +84,32 @@
 	waitForSlotsInUse(t, f.instances, 0)
 }
 
+// TestWaitingCallCrosses guards against a call that keeps waiting in its own zone after it
+// has waited for longer than the crossing costs: its zone expects a short wait, but the
+// calls there do not end.
+func TestWaitingCallCrosses(t *testing.T) {
+	f := newZonedFleet(100 * time.Millisecond)
+	entry := f.instances[0]
+	entry.Balancer.RecordBytes("guidance", "", 1e6)
+	for range 100 { // The home learns that calls are short.
+		s := acquireSlot(t, &entry.Client)
+		s.Release(acquirer.Result{ReportedCalls: -1})
+	}
+	own := []*acquirer.Slot{acquireSlot(t, &entry.Client), acquireSlot(t, &entry.Client)}
+	start := time.Now()
+	crossed := <-acquireAsync(t, entry, 9*time.Second)
+	if crossed == nil || crossed.Server != loopbackAddr(1, 0) {
+		t.Fatalf("got the slot %v, want one of the other zone", crossed)
+	}
+	if took := time.Since(start); took < 100*time.Millisecond {
+		t.Errorf("got the slot after %v, want at least the price of 100ms", took)
+	}
+	for _, s := range append(own, crossed) {
+		s.Release(acquirer.Result{ReportedCalls: -1})
+	}
+	waitForSlotsInUse(t, f.instances, 0)
+}
+
 // TestOtherZoneCutOff guards against lost calls and slots when the zone that takes over
 // calls is cut off: the slots in use there stay counted, and later calls are served in
 // their own zone.
