Let zones.price act only where the configuration has bulk rules

One template renders the settings of all deployments of the platform. Deployments without one are served as before.

--- a/internal/config/parser/service.go
+++ b/internal/config/parser/service.go
@@ -88,6 +88,7 @@
 	Deadline   Duration `toml:"deadline,omitempty"` // Longest time that a caller waits; 0 means 10s.
 	Target     Duration `toml:"target,omitempty"`   // Time within which the caller prefers an answer; 0 means the deadline.
 	Attempts   int      `toml:"attempts,omitempty"` // Largest number of backend servers to which one call is sent; 0 means 2.
+	Bulk       bool     `toml:"bulk,omitempty"`     // The bodies of calls or responses are large: uploads or downloads.
 	Parts      []Part   `toml:"parts"`
 }
 
--- a/internal/instance/runner/zones.go
+++ b/internal/instance/runner/zones.go
@@ -17,17 +17,24 @@
 func (c *components) initZones() {
 	c.slotClient.Metrics = c.metrics
 	if price := c.settings.Zones.Price.AsDuration(); price > 0 {
-		c.allocator.ReportLoad = true
+		c.allocator.ReportLoad, c.slotClient.UseBalancer = c.usesBulkSettings, c.usesBulkSettings
 		c.slotClient.Balancer = &balancer.Balancer{Zone: c.settings.Zone, Price: price, Audit: &c.audit}
 	}
 }
 
+// usesBulkSettings reports whether zones.price and retry.hedge have an effect. One rendering of
+// the settings serves all deployments of a platform, so with a PlatformAdapter this is the
+// case only while the configuration marks a rule as bulk.
+func (c *components) usesBulkSettings() bool {
+	return c.platform == nil || c.routingTable.Load().HasBulkRules
+}
+
 type zoneSection struct{ *components }
 
 // WriteStatus writes a line for each route of a service: the mean bytes of its calls and
 // the shares of the pools in other zones.
 func (s zoneSection) WriteStatus(w io.Writer) {
-	if s.slotClient.Balancer == nil {
+	if s.slotClient.Balancer == nil || !s.usesBulkSettings() {
 		return
 	}
 	for _, r := range s.slotClient.Balancer.RouteStatuses(time.Now()) {
--- a/internal/route/acquirer/acquisition.go
+++ b/internal/route/acquirer/acquisition.go
@@ -152,7 +152,7 @@
 	p := &poolAsk{acquisition: a, pool: to}
 	a.client.countAsk(to.key)
 	a.mu.Lock()
-	p.extra = a.client.Balancer != nil && len(a.asks) > 0
+	p.extra = a.client.activeBalancer() != nil && len(a.asks) > 0
 	a.asks = append(a.asks, p)
 	a.mu.Unlock()
 	a.askNextHome(p)
--- a/internal/route/acquirer/client.go
+++ b/internal/route/acquirer/client.go
@@ -75,7 +75,9 @@
 	// Balancer divides calls between zones. nil means that calls ask the own zone
 	// first and, when it has no free slot, all others.
 	Balancer *balancer.Balancer
-	Metrics  *meter.Metrics // nil discards the counts.
+	// UseBalancer reports whether the Balancer is used now; nil means always.
+	UseBalancer func() bool
+	Metrics     *meter.Metrics // nil discards the counts.
 
 	setupOnce  sync.Once
 	localHome  localHome
--- a/internal/route/acquirer/zones.go
+++ b/internal/route/acquirer/zones.go
@@ -15,7 +15,7 @@
 func (c *Client) choosePools(req *Request) (first pool, others []pool, ok bool) {
 	pools := c.poolsOf(req.Service)
 	first, others, ok = pools.choosePools()
-	if c.Balancer == nil || !ok || len(pools.sameRegion) == 0 {
+	if c.activeBalancer() == nil || !ok || len(pools.sameRegion) == 0 {
 		return first, others, ok
 	}
 	var key allocator.PoolKey
@@ -35,6 +35,14 @@
 	return first, others, true
 }
 
+// activeBalancer returns the Balancer, or nil while calls are not divided by it.
+func (c *Client) activeBalancer() *balancer.Balancer {
+	if c.UseBalancer != nil && !c.UseBalancer() {
+		return nil
+	}
+	return c.Balancer
+}
+
 func poolKeys(pools []pool) []allocator.PoolKey {
 	keys := make([]allocator.PoolKey, len(pools), len(pools)+1)
 	for i := range pools {
@@ -53,7 +61,7 @@
 const outsideReplyTimeout = 50 * time.Millisecond
 
 // isOutside reports whether the Balancer treats p as a pool of another zone.
-func (c *Client) isOutside(p pool) bool { return c.Balancer != nil && p.key.Zone != c.Zone }
+func (c *Client) isOutside(p pool) bool { return c.activeBalancer() != nil && p.key.Zone != c.Zone }
 
 // watchReplyFromOutside makes awaitSlot look for other pools when first is in another
 // zone and does not reply.
@@ -83,7 +91,7 @@
 		return 0
 	}
 	ask := a.otherPools
-	if b := a.client.Balancer; b != nil {
+	if b := a.client.activeBalancer(); b != nil {
 		keys, recheck := b.Others(time.Now(), balancerCall(&a.request), a.askedPools(), poolKeys(a.otherPools))
 		if recheck > 0 {
 			a.recheck = time.After(recheck)
@@ -115,7 +123,7 @@
 // Balancer. It ignores an instance outside the zone of the pool: that one is a home only
 // while no instance of the zone is in reach, and may not reach the servers either.
 func (c *Client) observeReply(p *poolAsk, h home, r allocator.Reply) {
-	if c.Balancer == nil {
+	if c.activeBalancer() == nil {
 		return
 	}
 	zone := c.Zone
@@ -140,14 +148,14 @@
 
 // failPool tells the Balancer that the home of pool k was not reached.
 func (c *Client) failPool(k allocator.PoolKey) {
-	if c.Balancer != nil {
+	if c.activeBalancer() != nil {
 		c.Balancer.Fail(time.Now(), k)
 	}
 }
 
 // failPoolsOf tells the Balancer that the stream to the home of some pools broke.
 func (c *Client) failPoolsOf(g *grantStream) {
-	if c.Balancer == nil {
+	if c.activeBalancer() == nil {
 		return
 	}
 	c.mu.Lock()
@@ -186,7 +194,7 @@
 	if c.Metrics != nil {
 		c.Metrics.ZoneBytes.WithLabelValues(key.Service, c.zoneLabel(key)).Add(float64(n))
 	}
-	if c.Balancer != nil {
+	if c.activeBalancer() != nil {
 		c.Balancer.RecordBytes(key.Service, s.ask.acquisition.request.Route, n)
 	}
 }
--- a/internal/route/acquirer/zones_test.go
+++ b/internal/route/acquirer/zones_test.go
@@ -14,7 +14,7 @@
 func newZonedFleet(price time.Duration) *fleet {
 	f := newFleet([]string{"a", "b"}, 2, 1, 2)
 	for _, in := range f.instances {
-		in.Allocator.ReportLoad = true
+		in.Allocator.ReportLoad = func() bool { return true }
 		in.Balancer = &balancer.Balancer{Zone: in.Zone, Price: price}
 	}
 	return f
--- a/internal/route/allocator/allocator.go
+++ b/internal/route/allocator/allocator.go
@@ -24,9 +24,9 @@
 	// block; its result is passed to RecordProbe. nil means that servers cannot
 	// be probed.
 	StartProbe func(service string, server netip.AddrPort)
-	// ReportLoad makes replies carry the load of their pool, by which entries divide
+	// ReportLoad reports whether replies carry the load of their pool, by which entries divide
 	// calls between zones.
-	ReportLoad bool
+	ReportLoad func() bool
 	// Withholder receives what entries report of leaving backend servers. RoutingTable
 	// then shows these servers as leaving. It also says which servers want no probes
 	// of this instance. nil ignores the reports and allows all probes.
--- a/internal/route/allocator/load_report.go
+++ b/internal/route/allocator/load_report.go
@@ -43,7 +43,7 @@
 
 // countArrival counts a request as demand of the pool.
 func (p *Pool) countArrival(now time.Time, req SlotRequest) {
-	if !p.ReportLoad {
+	if p.ReportLoad == nil || !p.ReportLoad() {
 		return
 	}
 	l := &p.load
@@ -66,7 +66,7 @@
 
 // currentLoad returns the load that replies report, or nil when the pool reports none.
 func (p *Pool) currentLoad(now time.Time) *Load {
-	if !p.ReportLoad {
+	if p.ReportLoad == nil || !p.ReportLoad() {
 		return nil
 	}
 	l := &p.load
--- a/internal/route/allocator/load_report_test.go
+++ b/internal/route/allocator/load_report_test.go
@@ -14,7 +14,7 @@
 // promises slots that are in use or hides the queue.
 func TestLoadReport(t *testing.T) {
 	p := newPool(2, 2)
-	p.ReportLoad = true
+	p.ReportLoad = func() bool { return true }
 	rec := &replyRecorder{replies: make(map[uint64]allocator.Reply)}
 	now := startTime.Add(10 * time.Second)
 	p.Tick(now)
--- a/internal/route/allocator/pool.go
+++ b/internal/route/allocator/pool.go
@@ -26,8 +26,9 @@
 	// MayProbe reports whether a server may be probed now; nil means always. A server
 	// that this instance may not probe is still granted to others.
 	MayProbe func(time.Time, *tracker.Server) bool
-	// ReportLoad makes replies carry the load of the pool.
-	ReportLoad bool
+	// ReportLoad reports whether replies carry the load of the pool; nil means that they
+	// do not.
+	ReportLoad func() bool
 
 	servers         tracker.Pool
 	config          parser.Service
--- a/internal/route/router/table.go
+++ b/internal/route/router/table.go
@@ -34,6 +34,7 @@
 	ServicesByHost map[string]*Service // By the value of the Host header.
 	RulesByHost    map[string][]*Rule  // By the value of the Host header, the longest path first.
 	Limits         parser.Limits
+	HasBulkRules   bool // A rule is marked as bulk.
 }
 
 // NewRoutingTable joins bundle b and list l, either of which may be nil.
@@ -69,6 +70,7 @@
 			r.Services[j] = t.Services[p.Service]
 		}
 		t.RulesByHost[r.Host] = append(t.RulesByHost[r.Host], r)
+		t.HasBulkRules = t.HasBulkRules || r.Bulk
 	}
 	for _, rules := range t.RulesByHost {
 		slices.SortStableFunc(rules, func(a, b *Rule) int { return cmp.Compare(len(b.Path), len(a.Path)) })
