Add the setting collect for the growth of the heap

It acts only with a configuration that has bulk rules, so other deployments keep the value of the Go runtime.

--- a/internal/config/parser/check.go
+++ b/internal/config/parser/check.go
@@ -25,6 +25,9 @@
 	maxCapacity = 1024.0         // More cores than a machine has.
 	minMemoryMB = 32             // The process itself takes about 20 MB.
 
+	minCollect = 10 // Below that, collections take a large share of the processor time.
+	maxCollect = 1000
+
 	// The margin covers the 10 s for which a list of instances is used after it
 	// was read and 5 s for the clocks of callers. With a shorter margin, the
 	// guarantee of package deduper for calls with an idempotency key does not
@@ -132,6 +135,7 @@
 	c.checkOneOf("dialect", s.Dialect, "native", "cymdeithas")
 	checkRange(c, "grace", s.Grace, Duration(time.Millisecond), Duration(time.Hour))
 	checkRange(c, "memory", s.Memory, minMemoryMB, math.MaxInt)
+	checkRange(c, "collect", s.Collect, minCollect, maxCollect)
 	checkRange(c, "capacity", s.Capacity, minCapacity, maxCapacity)
 	checkRange(c, "retry.ratio", s.Retry.Ratio, 0, 1)
 	checkRange(c, "retry.slack", s.Retry.Slack, 0, math.MaxInt)
--- a/internal/config/parser/settings.go
+++ b/internal/config/parser/settings.go
@@ -22,6 +22,7 @@
 	Dialect string           `toml:"dialect,omitempty"` // Formats of platform data and of call headers: native or cymdeithas; empty means native.
 	Grace   Duration         `toml:"grace,omitempty"`   // Time between SIGTERM and the forced end of the process; 0 means none.
 	Memory  int              `toml:"memory,omitempty"`  // Memory of the process in MB; 0 means no limit.
+	Collect int              `toml:"collect,omitempty"` // Growth of the heap between garbage collections in percent; 0 means that of the Go runtime.
 	Retry   Retry            `toml:"retry,omitempty"`
 	Zones   Zones            `toml:"zones,omitempty"`
 	// Capacity is the processor time that the instance may use, relative to other
--- a/internal/instance/runner/components.go
+++ b/internal/instance/runner/components.go
@@ -41,7 +41,8 @@
 	metrics         *meter.Metrics
 
 	routingTable   router.TableHolder
-	rebuildMu      sync.Mutex // Serializes updates of routingTable.
+	rebuildMu      sync.Mutex // Serializes updates of routingTable and guards appliedCollect.
+	appliedCollect int        // Growth of the heap in percent that applyCollect set last.
 	withholder     withholder.Withholder
 	audit          auditor.Trail
 	bundleStore    keeper.BundleStore
@@ -259,6 +260,7 @@
 	table := router.NewRoutingTable(b, c.currentList())
 	c.withholder.MarkLeaving(time.Now(), table)
 	c.routingTable.Store(table)
+	c.applyCollect(table)
 	servers := make(map[netip.AddrPort]bool)
 	for _, s := range table.Services {
 		for i := range s.Servers {
--- a/internal/instance/runner/zones.go
+++ b/internal/instance/runner/zones.go
@@ -22,13 +22,6 @@
 	}
 }
 
-// usesBulkSettings reports whether zones.price and retry.hedge have an effect. One rendering of
-// the settings serves all deployments of a platform, so with a PlatformAdapter this is the
-// case only while the configuration marks a rule as bulk.
-func (c *components) usesBulkSettings() bool {
-	return c.platform == nil || c.routingTable.Load().HasBulkRules
-}
-
 type zoneSection struct{ *components }
 
 // WriteStatus writes a line for each route of a service: the mean bytes of its calls and
