Read what backend servers state of cold starts

Callers saw servers crash after a start under traffic: nothing here knew that a server is cold, so it got its full share at once.

The configuration's ColdStart and ColdPerS become the table cold of a service, Status.ColdRemaining of a record and the header Sardinelever-Cold-Ms of a health answer become the end of the cold start in the routing table and in the tracker. A record's time is counted from when it was first known here, since its age is unknown. Without ColdRemaining, the start of the process decides, with a margin of 1 s for the clocks. A record cannot shorten what a probe said that was sent before the record was known. The settings cold.overage and cold.slack come from Bounds.

Nothing uses this yet.

--- a/internal/call/translator/dialect.go
+++ b/internal/call/translator/dialect.go
@@ -72,6 +72,8 @@
 	RunningCalls int           // Calls that run on the backend server; -1 when unknown.
 	WaitingCalls int           // Calls that wait on the backend server.
 	Slowdown     float64       // Time that work takes now on the backend server, relative to its usual time; 0 when unknown.
+	ColdStated   bool          // The backend server states for how long it is cold.
+	Cold         time.Duration // Time for which the backend server is still cold; 0 when it is warm.
 	RequestID    string        // Identifies the attempt that the response belongs to; empty when it is not given.
 	IdleTimeout  time.Duration // Idle time after which the backend server closes the connection; 0 when unknown.
 	// RetryAfter is the time for which a backend server that turned the call away
--- a/internal/config/parser/check.go
+++ b/internal/config/parser/check.go
@@ -18,12 +18,14 @@
 
 // Limits of the values in settings, service files and bundles.
 const (
-	maxDeadline = 24 * time.Hour // The header Sardine-Deadline has the same limit.
-	maxFloorSum = 0.5            // Share of the slots that the floors of all ranks reserve at most.
-	minFill     = 0.25           // One of 4 slots; fill applies to backend servers with 4 slots or more.
-	minCapacity = 0.001          // A thousandth of a core.
-	maxCapacity = 1024.0         // More cores than a machine has.
-	minMemoryMB = 32             // The process itself takes about 20 MB.
+	maxDeadline   = 24 * time.Hour // The header Sardine-Deadline has the same limit.
+	maxFloorSum   = 0.5            // Share of the slots that the floors of all ranks reserve at most.
+	minFill       = 0.25           // One of 4 slots; fill applies to backend servers with 4 slots or more.
+	maxColdFactor = 1e3
+	maxColdRate   = 1e6    // Calls per second.
+	minCapacity   = 0.001  // A thousandth of a core.
+	maxCapacity   = 1024.0 // More cores than a machine has.
+	minMemoryMB   = 32     // The process itself takes about 20 MB.
 
 	// The margin covers the 10 s for which a list of instances is used after it
 	// was read and 5 s for the clocks of callers. With a shorter margin, the
@@ -136,6 +138,8 @@
 	checkRange(c, "retry.ratio", s.Retry.Ratio, 0, 1)
 	checkRange(c, "retry.slack", s.Retry.Slack, 0, math.MaxInt)
 	checkRange(c, "retry.window", s.Retry.Window, Duration(time.Second), Duration(time.Hour))
+	checkRange(c, "cold.overage", s.Cold.Overage, 0, maxColdFactor)
+	checkRange(c, "cold.slack", s.Cold.Slack, 0, maxColdRate)
 	for i, seed := range s.Seeds {
 		if !seed.IsValid() || seed.Port() == 0 {
 			c.addMistake(joinPath("seeds", strconv.Itoa(i)), "%q is not an IP address with a port above 0", seed)
--- a/internal/config/parser/check_service.go
+++ b/internal/config/parser/check_service.go
@@ -103,6 +103,8 @@
 	checkRange(c, joinPath(prefix, "queue.calls"), s.Queue.Calls, 1, 1<<20)
 	checkRange(c, joinPath(prefix, "queue.bytes"), s.Queue.Bytes, 1, math.MaxInt)
 	c.checkProbe(joinPath(prefix, "probe"), s.Probe, effective.Probe)
+	checkRange(c, joinPath(prefix, "cold.time"), s.Cold.Time, 0, Duration(time.Hour))
+	checkRange(c, joinPath(prefix, "cold.rate"), s.Cold.Rate, 0, maxColdRate)
 	c.checkRoutes(joinPath(prefix, "routes"), s.Routes)
 }
 
--- a/internal/config/parser/parser_test.go
+++ b/internal/config/parser/parser_test.go
@@ -69,6 +69,7 @@
 		{guidanceService + "[[routes]]\npath = \"/\"\nrank = 7", "f:5: routes.rank: is a number; the value must be text in quotes"},
 		{guidanceService + "deadline = 5000000", "f:3: deadline: is a number; the value must be text in quotes"},
 		{guidanceService + "probe = { cost = 1 }", "f:3: probe.cost: is a number; the value must be text in quotes"},
+		{guidanceService + "[cold]\ntime = \"3s\"\nrate = -2.5", "f:5: cold.rate: -2.5 is not between 0 and 1e+06"},
 		{guidanceService + "connections = 1", "f:3: connections: 1 connections cannot serve 2 slots"},
 		{"name = \"sardine\"\nslots = 1", "f:1: name: \"sardine\" is reserved"},
 		{"slots = 1", "f: name: is required"},
@@ -127,6 +128,9 @@
 		{base + "plain = true\nmargin = \"-1h\"", "f:7: margin: -1h0m0s is not between 15s and 10m0s"},
 		{base + "plain = true\npolicy = \"fair\"", "f:7: policy: \"fair\" is none of grant, random, round, least"},
 		{base + "plain = true\nlevel = \"loud\"", "f:7: level: \"loud\" is none of debug, info, warn, error"},
+		{base + "plain = true\n[cold]\n", ""},
+		{base + "plain = true\n[cold]\noverage = 1.5\nslack = 8", ""},
+		{base + "plain = true\n[cold]\noverage = -1", "f:8: cold.overage: -1 is not between 0 and 1000"},
 		{"plain = true\ncallers = \"host:80\"\npeers = \"0.0.0.0:1\"\nplatform = \"p\"", "f: name: is required\nf: zone: is required\nf:2: callers: "},
 	} {
 		_, err := parser.ParseSettings("f", []byte(tc.text))
--- a/internal/config/parser/service.go
+++ b/internal/config/parser/service.go
@@ -35,6 +35,7 @@
 	Floors      Floors   `toml:"floors,omitempty"`
 	Queue       Queue    `toml:"queue,omitempty"`
 	Probe       Probe    `toml:"probe,omitempty"`
+	Cold        Cold     `toml:"cold,omitempty"`
 	Routes      []Route  `toml:"routes,omitempty"`
 }
 
@@ -66,6 +67,12 @@
 	Fresh Duration `toml:"fresh,omitempty"`
 }
 
+// Cold describes the backend servers of a service after a start.
+type Cold struct {
+	Time Duration `toml:"time,omitempty"` // Time for which a backend server is cold after a start.
+	Rate float64  `toml:"rate,omitempty"` // Calls per second that a cold backend server sustains; 0 means no limit.
+}
+
 // Route sets rank and deadline of the calls that match it, and whether they are
 // idempotent and may be repeated.
 type Route struct {
--- a/internal/config/parser/settings.go
+++ b/internal/config/parser/settings.go
@@ -23,6 +23,7 @@
 	Grace   Duration         `toml:"grace,omitempty"`   // Time between SIGTERM and the forced end of the process; 0 means none.
 	Memory  int              `toml:"memory,omitempty"`  // Memory of the process in MB; 0 means no limit.
 	Retry   Retry            `toml:"retry,omitempty"`
+	Cold    ColdBound        `toml:"cold,omitempty"`
 	// Capacity is the processor time that the instance may use, relative to other
 	// instances. Those with more of it take on more work for the others; 0 means
 	// unknown.
@@ -41,6 +42,13 @@
 	Window Duration `toml:"window,omitempty"` // 0 means 10s; only checked, because the limit that instances apply holds for windows of any length.
 }
 
+// ColdBound limits the calls that all instances together send to one cold backend
+// server in any second: Overage x rate of its service + Slack.
+type ColdBound struct {
+	Overage float64 `toml:"overage,omitempty"` // 0 means no limit.
+	Slack   float64 `toml:"slack,omitempty"`
+}
+
 // TLS names the files of certificate, key and CA certificates for the connections
 // between instances.
 type TLS struct {
--- a/internal/route/router/table.go
+++ b/internal/route/router/table.go
@@ -19,6 +19,9 @@
 	Leaving      bool
 	ProcessStart uint64 // Start of the server process in a unit of the platform; 0 when unknown.
 	Slots        int    // Slots of this server; 0 means the number configured for the service.
+	// Cold is what the list says of a cold start; NewRoutingTable leaves the times to
+	// ColdSchedule.
+	Cold ColdStart
 }
 
 // Service is the configuration of a service with its backend servers.
@@ -83,6 +86,7 @@
 	}
 	s.Servers = append(s.Servers, BackendServer{
 		Name: e.Name, Address: e.Address, Zone: e.Zone, Region: e.Region, Leaving: e.Leaving, ProcessStart: e.ProcessStart, Slots: e.Slots,
+		Cold: ColdStart{remaining: e.Cold, started: e.Started, sequence: e.Sequence},
 	})
 }
 
--- a/internal/route/tracker/pool.go
+++ b/internal/route/tracker/pool.go
@@ -127,6 +127,9 @@
 	sentAt := now.Add(-r.Age)
 	s.updateLoad(sentAt, r.ReportedCalls, s.inFlight)
 	s.updateSlowdown(sentAt, r.Slowdown)
+	if r.ColdStated {
+		s.coldStart.report(now, sentAt, r.Cold)
+	}
 	s.recordProbe(now, r.Failed)
 	if r.Drain || sentAt.After(s.drainedAt) && !r.Failed {
 		// Only a probe ends a drain: responses to earlier calls can arrive after the drain signal.
--- a/internal/route/tracker/server.go
+++ b/internal/route/tracker/server.go
@@ -38,8 +38,11 @@
 // ProbeResult is the result of a probe.
 type ProbeResult struct {
 	Result
-	Age    time.Duration // Time since the probe was sent.
-	Unsent bool          // No probe was sent, so nothing is known and another may start.
+	Age time.Duration // Time since the probe was sent.
+	// ColdStated is set when the server states for how long it is cold, which is Cold.
+	ColdStated bool
+	Cold       time.Duration
+	Unsent     bool // No probe was sent, so nothing is known and another may start.
 }
 
 // resultCounts holds the number of results and failures in one half of the failure window.
@@ -81,6 +84,7 @@
 	probeSentAt  time.Time // Time of the pending probe; zero when there is none.
 	backoffUntil time.Time
 	backoff      time.Duration
+	coldStart    coldStart
 }
 
 // InFlight returns the number of calls in flight that this pool granted.
