Limit the calls to a cold server over all homes

Callers saw calls fail when servers that had just started, or a whole zone that returned, got their full share of calls at once and crashed.

The home paces the grants of each cold server: one each 1/ColdPerS, at most two outstanding, none saved up at a new home or after a pause. Calls that ended without an answer stay outstanding, since a link may deliver them late. An offer of a cold server carries the time that the request waited at the home; the entry sends nothing when its ways took over 150 ms, so a home or an entry that was frozen adds no late calls. Slots of cold servers are not kept and not used for a second send. Cold servers count as twice as slow, get calls only when no warm one at normal speed is free, and a request that would miss its target at the rate of the cold servers is refused at once.

--- a/internal/call/sender/pool.go
+++ b/internal/call/sender/pool.go
@@ -91,16 +91,22 @@
 	limit      int           // Most connections that may be open.
 	requestID  string        // ID of a call that was not refused on the connection; may be empty.
 	withholder *withholder.Withholder
+	sendBy     time.Time // Latest time of use; zero means any time.
 }
 
-func (r *connRequest) isWithheld() bool { return r.withholder.IsWithheld(time.Now(), r.lifetime) }
+func (r *connRequest) isWithheld() bool {
+	return r.isLate() || r.withholder.IsWithheld(time.Now(), r.lifetime)
+}
+
+// isLate reports whether the time of use has passed.
+func (r *connRequest) isLate() bool { return !r.sendBy.IsZero() && time.Now().After(r.sendBy) }
 
 // acquireConn returns an idle connection that suits r, or a new one. It waits while
 // limit connections are open and none of them is idle. The error is ErrWithheld as soon
 // as the backend server is withheld.
 func (p *connPool) acquireConn(ctx context.Context, transport *http.Transport, r connRequest) (*pooledConn, error) {
 	conn, err := p.awaitConn(ctx, transport, &r)
-	if err == nil && !r.withholder.TryStart(time.Now(), r.lifetime) {
+	if err == nil && (r.isLate() || !r.withholder.TryStart(time.Now(), r.lifetime)) {
 		_ = conn.Close()
 		return nil, ErrWithheld
 	}
--- a/internal/call/sender/sender.go
+++ b/internal/call/sender/sender.go
@@ -47,7 +47,10 @@
 	// connection of the first is silent. It requires an idempotent call without
 	// a body.
 	AllowResend bool
-	SentAt      time.Time // Start of the last send; set by Send.
+	// SendBy is the latest time at which the call may be written; zero means any time.
+	// Later, nothing is sent and the error wraps ErrWithheld.
+	SendBy time.Time
+	SentAt time.Time // Start of the last send; set by Send.
 	// ForwardInformational is called for each 1xx response except 100 Continue,
 	// which http.Server sends to the caller when the body is first read. It may
 	// be nil.
@@ -121,6 +124,7 @@
 	a, pool := x.attempt, x.pool
 	conn, err := pool.acquireConn(ctx, s.transport, connRequest{
 		lifetime: a.Lifetime, maxIdle: x.maxIdle, limit: s.connectionLimit(a.Call.Service.Connections), withholder: s.Withholder, requestID: a.Call.RequestID,
+		sendBy: a.SendBy,
 	})
 	switch {
 	case errors.Is(err, ErrWithheld):
--- a/internal/instance/runner/active_call.go
+++ b/internal/instance/runner/active_call.go
@@ -77,7 +77,8 @@
 		RetryBudget: attempt.Budget, ForwardInformational: a.forwardInformational,
 		// Only the first attempt of a call that can be hedged may use a connection
 		// that has been idle for long and could be dead.
-		RequireFreshConn: attempt.Number > 1 || !a.hedge && a.retrier.Limit == nil, AllowResend: a.hedge,
+		RequireFreshConn: attempt.Number > 1 || !a.hedge && a.retrier.Limit == nil, AllowResend: a.hedge && slot.SendBy.IsZero(), // A slot of a cold server is for one send.
+		SendBy: slot.SendBy,
 	}
 	if a.hedge || !a.r.ProtoAtLeast(1, 1) {
 		// Two attempts must not write to the caller at the same time, and for HTTP/1.0
--- a/internal/instance/runner/adapters.go
+++ b/internal/instance/runner/adapters.go
@@ -129,7 +129,7 @@
 	if err == nil {
 		result.ReportedCalls, result.Slowdown = signals.ReportedCalls(), signals.Slowdown
 	}
-	o.allocator.RecordProbe(o.service, o.server, tracker.ProbeResult{Result: result, Age: time.Since(start) / 2})
+	o.allocator.RecordProbe(o.service, o.server, tracker.ProbeResult{Result: result, Age: time.Since(start) / 2, ColdStated: signals.ColdStated, Cold: signals.Cold})
 }
 
 // serveGrantStream serves the slot requests of another instance.
--- a/internal/instance/runner/components.go
+++ b/internal/instance/runner/components.go
@@ -43,6 +43,7 @@
 	routingTable   router.TableHolder
 	rebuildMu      sync.Mutex // Serializes updates of routingTable.
 	withholder     withholder.Withholder
+	coldSchedule   router.ColdSchedule // Guarded by rebuildMu.
 	audit          auditor.Trail
 	bundleStore    keeper.BundleStore
 	pauseDetector  detector.PauseDetector
@@ -70,6 +71,7 @@
 	c.withholder.Audit, c.withholder.Metrics, c.withholder.OnOwnLeaving = &c.audit, c.metrics, c.slotClient.AnnounceLeaving
 	c.withholder.Log = l
 	meter.RegisterPausedServers(c.metricsRegistry, c.pausedServers)
+	meter.RegisterColdServers(c.metricsRegistry, c.allocator.ColdServers, c.allocator.ColdWithheld)
 	c.pauseDetector.OnPause = c.dropStaleData
 	c.initPlatform()
 	c.initFleet()
@@ -127,7 +129,7 @@
 
 func (c *components) initRouting() {
 	s := c.settings
-	c.allocator = allocator.Allocator{RoutingTable: &c.routingTable, Audit: &c.audit, Withholder: &c.withholder}
+	c.allocator = allocator.Allocator{RoutingTable: &c.routingTable, Audit: &c.audit, Withholder: &c.withholder, ColdBound: s.Cold}
 	if c.platform != nil {
 		c.allocator.StartProbe = c.startProbe
 	}
@@ -257,6 +259,7 @@
 	b, _ := c.bundleStore.CurrentBundle()
 	table := router.NewRoutingTable(b, c.currentList())
 	c.withholder.MarkLeaving(time.Now(), table)
+	c.coldSchedule.Mark(time.Now(), table)
 	c.routingTable.Store(table)
 	servers := make(map[netip.AddrPort]bool)
 	for _, s := range table.Services {
--- a/internal/operator/meter/metrics.go
+++ b/internal/operator/meter/metrics.go
@@ -56,6 +56,19 @@
 	}, func() float64 { return float64(count()) }))
 }
 
+// RegisterColdServers registers in r the number of cold backend servers and the number of
+// slot requests that the limit of calls to them delayed or refused.
+func RegisterColdServers(r *prometheus.Registry, count func() int, withheld func() uint64) {
+	r.MustRegister(
+		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+			Name: "sardinelever_cold_servers", Help: "Cold backend servers whose calls this instance limits as home.",
+		}, func() float64 { return float64(count()) }),
+		prometheus.NewCounterFunc(prometheus.CounterOpts{
+			Name: "sardinelever_cold_withheld_total", Help: "Slot requests that got no free slot at once because its backend server was cold.",
+		}, func() float64 { return float64(withheld()) }),
+	)
+}
+
 // newSecondsHistogram returns a histogram by service and rank with buckets from 250 µs
 // to 33 s.
 func newSecondsHistogram(name, help string) *prometheus.HistogramVec {
--- a/internal/route/acquirer/acquisition.go
+++ b/internal/route/acquirer/acquisition.go
@@ -211,6 +211,9 @@
 		Server: a.offer.Server, Home: p.triedHomes[len(p.triedHomes)-1], Slowdown: a.offer.Slowdown, SlowdownAge: a.offer.SlowdownAge,
 		ask: p, homes: []home{p.home},
 	}
+	if a.offer.Cold {
+		s.SendBy = p.sentAt.Add(a.offer.Wait + allocator.MaxColdDelay)
+	}
 	if !p.home.trackSlot(s) {
 		s.replaceHome(p.home.(*grantStream))
 	}
--- a/internal/route/acquirer/encoding.go
+++ b/internal/route/acquirer/encoding.go
@@ -67,6 +67,7 @@
 			return r, false, errors.Wrap(messenger.ErrInvalidMessage, err.Error())
 		}
 		r.MayKeep, r.Slowdown, r.SlowdownAge = k.Offer.Keep, k.Offer.Pace, time.Duration(k.Offer.Age)
+		r.Cold, r.Wait = k.Offer.Cold, time.Duration(k.Offer.Wait)
 	case *messenger.Grant_Recall:
 		r = allocator.Reply{Number: k.Recall.Number, Kind: allocator.ReplyRecalled}
 	case *messenger.Grant_Queued:
--- a/internal/route/acquirer/slot.go
+++ b/internal/route/acquirer/slot.go
@@ -12,6 +12,7 @@
 	Home        string        // Instance that granted the slot; empty for baselines and kept slots.
 	Slowdown    float64       // Slowdown of the server by which the home chose it; 0 when unknown.
 	SlowdownAge time.Duration // Age of the slowdown when the slot was granted.
+	SendBy      time.Time     // Latest start of the call on a cold server; zero on others.
 
 	ask       *poolAsk     // Ask that led to the slot; nil for baselines.
 	onRelease func(Result) // Called by Release instead of reporting to homes; set by baselines only.
--- a/internal/route/allocator/admission.go
+++ b/internal/route/allocator/admission.go
@@ -68,7 +68,7 @@
 		if !ok || age > maxHighSlowdownAge {
 			slowdown = minSlowdown
 		}
-		slots += float64(p.grantableSlots(now, s)) / max(slowdown, minSlowdown)
+		slots += p.coldSlots(s, float64(p.grantableSlots(now, s))/max(slowdown, minSlowdown))
 	}
 	return slots
 }
--- a/internal/route/allocator/allocator.go
+++ b/internal/route/allocator/allocator.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"sardinelever.example/sardinelever/internal/config/parser"
@@ -28,6 +29,9 @@
 	// then shows these servers as leaving. It also says which servers want no probes
 	// of this instance. nil ignores the reports and allows all probes.
 	Withholder *withholder.Withholder
+	ColdBound  parser.ColdBound // Limits the calls to cold servers.
+
+	coldWithheld atomic.Uint64
 
 	mu    sync.RWMutex
 	pools map[PoolKey]*poolWorker
@@ -166,7 +170,7 @@
 		al.pools = make(map[PoolKey]*poolWorker)
 	}
 	w := &poolWorker{
-		pool: Pool{Key: k, Audit: al.Audit}, routingTable: al.RoutingTable, startProbe: al.StartProbe, withholder: al.Withholder,
+		pool: Pool{Key: k, Audit: al.Audit, ColdBound: al.ColdBound, coldWithheld: &al.coldWithheld}, routingTable: al.RoutingTable, startProbe: al.StartProbe, withholder: al.Withholder,
 		commands: make(chan *command, maxPendingCommands), quit: make(chan struct{}),
 	}
 	if al.StartProbe != nil {
--- a/internal/route/allocator/dispatch.go
+++ b/internal/route/allocator/dispatch.go
@@ -119,6 +119,9 @@
 		p.grantSlot(now, s, qr.SlotRequest)
 		p.updateCredits(r)
 		reply := Reply{Number: qr.Number, Kind: ReplyOffered, Server: s.Address, MayKeep: p.canKeepSlots(now)}
+		if p.isLimited(now, s) {
+			reply.Cold, reply.Wait, reply.MayKeep = true, now.Sub(qr.queuedAt), false
+		}
 		if slowdown, age, ok := s.Slowdown(now); ok {
 			reply.Slowdown, reply.SlowdownAge = slowdown, age
 		}
@@ -182,7 +185,7 @@
 func (p *Pool) pickServer(now time.Time, req SlotRequest) *tracker.Server {
 	all := p.candidateBuffer[:0]
 	for _, s := range p.servers.Servers() {
-		if s.FreeSlots(now) == 0 || slices.Contains(req.Avoid, s.Address) {
+		if s.FreeSlots(now) == 0 || !p.allowsCold(now, s) || slices.Contains(req.Avoid, s.Address) {
 			continue
 		}
 		if s.State(now) == tracker.Trial {
@@ -196,6 +199,7 @@
 		all = append(all, picker.Candidate[*tracker.Server]{Value: s, Score: p.serverScore(now, s), InFlight: s.InFlight()})
 	}
 	p.candidateBuffer = all
+	all = p.preferWarm(all)
 	var policy picker.Policy[*tracker.Server] = picker.LowestScore[*tracker.Server]{}
 	if p.Policy != nil {
 		policy = p.Policy
--- a/internal/route/allocator/kept_slots.go
+++ b/internal/route/allocator/kept_slots.go
@@ -38,7 +38,7 @@
 	p.recordHoldTime(now, g)
 	g.kept, g.deadline = true, now.Add(MaxKeepTime)
 	p.keptCount++
-	if !p.canKeepSlots(now) || g.server.InFlight() > g.server.Limit() {
+	if !p.canKeepSlots(now) || p.isLimited(now, g.server) || g.server.InFlight() > g.server.Limit() {
 		p.recallSlot(id, g)
 	}
 	p.recallUnfit(now, g.server)
@@ -52,6 +52,7 @@
 	}
 	g.kept, g.recalled = false, false
 	p.keptCount--
+	p.countCold(now, g.server)
 	g.rank, g.grantedAt, g.deadline = min(rank, parser.Patient), now, deadline
 	if rank == parser.Urgent {
 		p.lastUrgent = now
@@ -80,9 +81,9 @@
 // kept slots of a server are recalled.
 const recallLatencyFactor = 1.5
 
-// recallUnfit recalls the kept slots of s if s is slow or not in state Ready.
+// recallUnfit recalls the kept slots of s if s is cold, slow or not in state Ready.
 func (p *Pool) recallUnfit(now time.Time, s *tracker.Server) {
-	if p.keptCount == 0 || s.State(now) == tracker.Ready && float64(p.servers.ExpectedLatency(now, s)) <= recallLatencyFactor*p.servers.MedianLatency(now) {
+	if p.keptCount == 0 || s.State(now) == tracker.Ready && !p.isLimited(now, s) && float64(p.servers.ExpectedLatency(now, s)) <= recallLatencyFactor*p.servers.MedianLatency(now) {
 		return
 	}
 	for id, g := range p.grants {
--- a/internal/route/allocator/nearly_full.go
+++ b/internal/route/allocator/nearly_full.go
@@ -261,6 +261,9 @@
 	if external, age, ok := s.ReportedExternalCalls(now); ok && age <= p.config.Probe.Fresh.AsDuration() {
 		available -= external
 	}
+	if !p.allowsCold(now, s) {
+		return 0
+	}
 	return max(available, 0)
 }
 
--- a/internal/route/allocator/pool.go
+++ b/internal/route/allocator/pool.go
@@ -4,6 +4,7 @@
 	"container/list"
 	"net/netip"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"sardinelever.example/sardinelever/internal/config/parser"
@@ -26,6 +27,8 @@
 	// MayProbe reports whether a server may be probed now; nil means always. A server
 	// that this instance may not probe is still granted to others.
 	MayProbe func(time.Time, *tracker.Server) bool
+	// ColdBound limits the calls to cold servers; see newColdRate.
+	ColdBound parser.ColdBound
 
 	servers         tracker.Pool
 	config          parser.Service
@@ -41,6 +44,10 @@
 	slotRatio       float64   // Slots of the whole service divided by those of the pool.
 	candidateBuffer []picker.Candidate[*tracker.Server]
 	orderBuffer     []*queuedRequest // Reused by serviceOrder.
+	coldRate        coldRate
+	coldPacers      map[*tracker.Server]*coldPacer // Of the cold servers.
+	coldCheckedAt   time.Time
+	coldWithheld    *atomic.Uint64 // Counts the requests that got no slot at once because its server was cold; may be nil.
 	// awaitingProbes is set if the last call of chooseByFreshReports chose no
 	// server because probes are in progress.
 	awaitingProbes bool
@@ -58,6 +65,7 @@
 	nearlyFullTime time.Duration // Total time for which the server was nearly full until the grant.
 	kept           bool          // No call uses the slot; the entry keeps it for its next call.
 	recalled       bool          // The entry was told to return the kept slot.
+	unused         bool          // The entry returned the slot without a call.
 }
 
 const (
@@ -99,6 +107,7 @@
 		members = withoutReplaced(PoolMembers(s, p.Key))
 		p.slotRatio = serviceSlotRatio(s, members)
 	}
+	p.coldRate = newColdRate(p.config.Cold.Rate, p.ColdBound)
 	if first {
 		p.servers = tracker.Pool{Settings: p.Settings, Audit: p.Audit}
 		p.servers.Settings.Slots = p.config.Slots
@@ -120,6 +129,7 @@
 		s.ProcessStart = member.ProcessStart
 		p.servers.SetServerSlots(now, s, member.Slots)
 		p.servers.SetLeaving(now, s, member.Leaving)
+		s.SetListedCold(member.Cold.Since, member.Cold.Until)
 		p.recallUnfit(now, s)
 	}
 	for _, s := range slices.Clone(p.servers.Servers()) {
@@ -132,6 +142,7 @@
 			p.removeServer(s)
 		}
 	}
+	p.updateCold(now)
 	p.refuseUnservable(now)
 	p.dispatch(now)
 }
@@ -179,8 +190,15 @@
 	if p.queued[req.ID] == nil {
 		return
 	}
+	if p.coldWithheld != nil && p.withholdsCold(now, req.Avoid) {
+		p.coldWithheld.Add(1)
+	}
 	newestFirst := q.overloaded(now)
 	switch {
+	case p.missesTargetCold(now, qr, p.queuedUpTo(req.Rank)):
+		p.removeQueued(req.ID)
+		p.refuseRequest(now, req, ReasonLate)
+		return
 	case q.len() > p.queueLimit():
 		dropped := q.requests.Front().Value.(*queuedRequest).SlotRequest
 		if !newestFirst {
@@ -216,6 +234,9 @@
 // for it.
 func (p *Pool) CancelRequest(now time.Time, id ID) {
 	p.removeQueued(id)
+	if g := p.grants[id]; g != nil {
+		g.unused = true
+	}
 	if p.endGrant(id, nil, now) {
 		p.dispatch(now)
 	}
@@ -257,6 +278,7 @@
 func (p *Pool) RecordProbe(now time.Time, addr netip.AddrPort, r tracker.ProbeResult) {
 	if s := p.servers.FindServer(addr); s != nil {
 		p.servers.RecordProbeResult(now, s, r)
+		p.updateCold(now)
 		p.recallUnfit(now, s)
 		p.dispatch(now)
 		p.notifyAllQueued(now)
@@ -278,10 +300,11 @@
 			p.endGrant(id, nil, now)
 		}
 	}
+	p.updateCold(now)
 	p.dispatch(now)
 	p.notifyAllQueued(now)
 	for id, e := range p.queued {
-		if qr := e.Value.(*queuedRequest); p.shouldRefuse(now, qr) {
+		if qr := e.Value.(*queuedRequest); p.shouldRefuse(now, qr) || p.missesTargetCold(now, qr, 1) {
 			p.removeQueued(id)
 			p.refuseRequest(now, qr.SlotRequest, ReasonLate)
 		}
@@ -297,6 +320,10 @@
 // grantSlot counts a slot of s as in use by the call of req.
 func (p *Pool) grantSlot(now time.Time, s *tracker.Server, req SlotRequest) {
 	slowdown, _, _ := s.Slowdown(now)
+	if slowdown > 0 && p.isLimited(now, s) {
+		slowdown = max(slowdown, coldSlowdown)
+	}
+	p.countCold(now, s)
 	p.servers.StartCall(s)
 	p.grants[req.ID] = &grant{
 		server: s, rank: req.Rank, route: req.Route, assumedWork: req.assumedWork, grantedAt: now, deadline: req.Deadline,
@@ -312,6 +339,7 @@
 		return false
 	}
 	delete(p.grants, id)
+	p.recordColdEnd(now, g, r)
 	if g.kept {
 		p.keptCount--
 	}
@@ -343,6 +371,7 @@
 func (p *Pool) removeServer(s *tracker.Server) {
 	p.servers.RemoveServer(s)
 	p.nearlyFull.removeServer(s)
+	delete(p.coldPacers, s)
 }
 
 // isListed reports whether the routing table lists a server at addr for the
--- a/internal/route/allocator/probing.go
+++ b/internal/route/allocator/probing.go
@@ -81,6 +81,8 @@
 		slowdown, age, ok := s.Slowdown(now)
 		probeAge := s.PendingProbeAge(now)
 		switch {
+		case ok && age <= maxAge && p.isLimited(now, s):
+			slow = append(slow, o)
 		case ok && age <= maxAge && slowdown <= maxNormalSlowdown:
 			normal = append(normal, o)
 		case ok && age <= maxHighSlowdownAge && slowdown > maxNormalSlowdown:
@@ -114,6 +116,9 @@
 	if !ok || age > maxSlowdownAge {
 		slowdown = defaultSlowdown
 	}
+	if p.isLimited(now, s) {
+		slowdown = max(slowdown, coldSlowdown)
+	}
 	inFlight := float64(s.InFlight()) + p.servers.ExternalInFlight(now, s)
 	cost := slowdown * (1 + inFlight/float64(serverSlots(s))/4)
 	if isNearlyFull(s, 1) {
--- a/internal/route/allocator/request.go
+++ b/internal/route/allocator/request.go
@@ -58,6 +58,8 @@
 	Server      netip.AddrPort
 	Slowdown    float64       // Reported slowdown of Server at the grant; 0 when unknown.
 	SlowdownAge time.Duration // Age of the report that gave the slowdown.
+	Cold        bool          // Server is cold, so the call must start within MaxColdDelay.
+	Wait        time.Duration // Time from the receipt of the request to the grant, if Cold is set.
 	MayKeep     bool          // The entry may keep the slot for its next call.
 	Reason      string
 	RetryAfter  time.Duration // Suggested delay before a retry of a refused request.
--- a/internal/route/allocator/session.go
+++ b/internal/route/allocator/session.go
@@ -162,7 +162,9 @@
 		m.Kind = &messenger.Grant_Queued{Queued: &messenger.Queued{Number: r.Number}}
 	case ReplyOffered:
 		server, _ := r.Server.MarshalBinary() // MarshalBinary never fails.
-		m.Kind = &messenger.Grant_Offer{Offer: &messenger.Offer{Number: r.Number, Server: server, Keep: r.MayKeep, Pace: r.Slowdown, Age: int64(r.SlowdownAge)}}
+		m.Kind = &messenger.Grant_Offer{Offer: &messenger.Offer{
+			Number: r.Number, Server: server, Keep: r.MayKeep, Pace: r.Slowdown, Age: int64(r.SlowdownAge), Cold: r.Cold, Wait: int64(r.Wait),
+		}}
 	case ReplyRecalled:
 		m.Kind = &messenger.Grant_Recall{Recall: &messenger.Recall{Number: r.Number}}
 	case ReplyRefused:
--- a/internal/route/allocator/status.go
+++ b/internal/route/allocator/status.go
@@ -77,6 +77,8 @@
 	switch {
 	case s.State != tracker.Ready && s.State != tracker.Trial:
 		s.BlockedReason = s.State.String()
+	case !p.allowsCold(now, server):
+		s.BlockedReason = p.coldReason(now, server)
 	case s.Free > 0:
 	case s.InFlight >= s.Limit:
 		s.BlockedReason = fmt.Sprintf("%d of %d slots in use", s.InFlight, s.Limit)
--- a/internal/route/allocator/worker.go
+++ b/internal/route/allocator/worker.go
@@ -59,6 +59,7 @@
 	quit         chan struct{}
 	lastUsed     atomic.Int64 // Time of the last command, in Unix nanoseconds.
 	activeCount  atomic.Int64 // Queued requests plus granted slots.
+	coldCount    atomic.Int64 // Cold servers.
 }
 
 // run handles the commands of the pool one at a time until quit is closed.
@@ -76,6 +77,7 @@
 			w.tick(now)
 		}
 		w.activeCount.Store(int64(w.pool.QueuedCount() + w.pool.GrantedCount()))
+		w.coldCount.Store(int64(w.pool.ColdServers()))
 		want := grantTickPeriod
 		if w.pool.QueuedCount() > 0 {
 			want = queueTickPeriod
