Grant cold servers by the share of the fleet that a home reaches

Instances that are cut off from the others become the home for their own calls. Each of them granted cold servers at the full rate, so a dozen of them exceeded what a cold server takes.

A home now grants at the full rate only while it reaches 0.6 of the known instances, else at a half, a quarter and so on. The share comes from the heartbeats of the neighbours within 1.6 s and from the suspected members. A new home, or one that was paused, grants no slot of a cold server for 1.7 s, in which it notices that it is cut off.

--- a/internal/instance/runner/adapters.go
+++ b/internal/instance/runner/adapters.go
@@ -76,6 +76,13 @@
 // share of the common limits.
 const minUnlistedFleetSize = 8
 
+// heardWithin is the time within which an instance that can be reached sends a heartbeat:
+// their period of 1 s with a margin for slow processes.
+const heardWithin = 1600 * time.Millisecond
+
+// fleetShare returns the share of the instances that this one hears.
+func (c *components) fleetShare() float64 { return c.members.HeardShare(heardWithin) }
+
 // retryBudgetFraction is the part of the common retry budget that the known
 // instances use; the rest is for instances that are not known yet.
 const retryBudgetFraction = 0.9
--- a/internal/instance/runner/components.go
+++ b/internal/instance/runner/components.go
@@ -129,7 +129,7 @@
 
 func (c *components) initRouting() {
 	s := c.settings
-	c.allocator = allocator.Allocator{RoutingTable: &c.routingTable, Audit: &c.audit, Withholder: &c.withholder, ColdBound: s.Cold}
+	c.allocator = allocator.Allocator{RoutingTable: &c.routingTable, Audit: &c.audit, Withholder: &c.withholder, ColdLimits: allocator.ColdLimits{Bound: s.Cold, FleetShare: c.fleetShare}}
 	if c.platform != nil {
 		c.allocator.StartProbe = c.startProbe
 	}
--- a/internal/route/allocator/allocator.go
+++ b/internal/route/allocator/allocator.go
@@ -29,7 +29,7 @@
 	// then shows these servers as leaving. It also says which servers want no probes
 	// of this instance. nil ignores the reports and allows all probes.
 	Withholder *withholder.Withholder
-	ColdBound  parser.ColdBound // Limits the calls to cold servers.
+	ColdLimits ColdLimits // Limits the calls to cold servers.
 
 	coldWithheld atomic.Uint64
 
@@ -170,7 +170,7 @@
 		al.pools = make(map[PoolKey]*poolWorker)
 	}
 	w := &poolWorker{
-		pool: Pool{Key: k, Audit: al.Audit, ColdBound: al.ColdBound, coldWithheld: &al.coldWithheld}, routingTable: al.RoutingTable, startProbe: al.StartProbe, withholder: al.Withholder,
+		pool: Pool{Key: k, Audit: al.Audit, ColdLimits: al.ColdLimits, cold: coldState{withheld: &al.coldWithheld}}, routingTable: al.RoutingTable, startProbe: al.StartProbe, withholder: al.Withholder,
 		commands: make(chan *command, maxPendingCommands), quit: make(chan struct{}),
 	}
 	if al.StartProbe != nil {
--- a/internal/route/allocator/cold.go
+++ b/internal/route/allocator/cold.go
@@ -4,6 +4,7 @@
 	"net/netip"
 	"slices"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"sardinelever.example/sardinelever/internal/config/parser"
@@ -32,6 +33,14 @@
 	// a link may deliver it late, and only for minLostTime if the server answers others.
 	maxLostTime = 5 * time.Second
 	minLostTime = time.Second
+	// newHomeDelay is the time for which a new home grants no slots of cold servers. An
+	// instance that is cut off from the others becomes the home of all pools for its own
+	// calls; within this time it notices that it hears no others (heardWithin in package
+	// runner), and FleetShare then tells so.
+	newHomeDelay = 1700 * time.Millisecond
+	// minFullShare is the share of the fleet from which a home grants at the full rate,
+	// so that the failure of a zone among four or of a few instances changes nothing.
+	minFullShare = 0.6
 	// maxColdGap is the longest time between two updates of a pool that runs; its ticks
 	// are at most grantTickPeriod apart. After a longer one, the process was paused and
 	// another home may have taken over.
@@ -60,6 +69,38 @@
 	return r
 }
 
+// withShare returns the rate of a home that reaches a share of the fleet: the full rate,
+// or a half, a quarter and so on, so that small changes of the share have no effect. The
+// rates of several homes that do not reach each other then add up to about one.
+func (r coldRate) withShare(share float64) coldRate {
+	if share >= minFullShare {
+		return r
+	}
+	const minShare = 1.0 / (1 << 12)
+	for full := 1.0; full > max(share, minShare); full /= 2 {
+		r.interval *= 2
+	}
+	return r
+}
+
+// ColdLimits are the limits of calls to cold servers. The zero value limits none.
+type ColdLimits struct {
+	Bound parser.ColdBound
+	// FleetShare returns the share of the instances that this one reaches; nil means that
+	// it reaches all.
+	FleetShare func() float64
+}
+
+// coldState is what a pool knows of its cold servers.
+type coldState struct {
+	fullRate  coldRate // Rate of a home that reaches all instances.
+	rate      coldRate
+	pacers    map[*tracker.Server]*coldPacer // Of the cold servers.
+	checkedAt time.Time
+	grantFrom time.Time      // Time of the first grant after the start or a pause, at the earliest.
+	withheld  *atomic.Uint64 // Counts the requests that got no slot at once because its server was cold; may be nil.
+}
+
 // coldPacer decides when a home may grant the next slot of one cold server.
 type coldPacer struct {
 	nextAt time.Time   // Time of the next grant, at the earliest.
@@ -67,9 +108,12 @@
 }
 
 // restart discards the grants that the time since the last one would allow. The calls in
-// flight count as granted now.
-func (c *coldPacer) restart(now time.Time, r coldRate, inFlight int) {
+// flight count as granted now. The next grant is not before from.
+func (c *coldPacer) restart(now, from time.Time, r coldRate, inFlight int) {
 	c.nextAt = now.Add(time.Duration(1+inFlight) * r.interval)
+	if c.nextAt.Before(from) {
+		c.nextAt = from
+	}
 }
 
 // count counts a call that may arrive at the server.
@@ -94,34 +138,66 @@
 	return !now.Before(c.nextAt) && inFlight+len(c.lost) < r.outstanding
 }
 
+// setColdRate sets the rate at which a home that reaches all instances grants slots of
+// each cold server.
+func (p *Pool) setColdRate(r coldRate) {
+	if r != p.cold.fullRate {
+		p.cold.fullRate, p.cold.rate = r, r
+	}
+}
+
 // updateCold starts to limit the servers that have turned cold and ends it for those
 // that are warm.
 func (p *Pool) updateCold(now time.Time) {
-	paused := now.Sub(p.coldCheckedAt) > maxColdGap
-	p.coldCheckedAt = now
-	if p.coldRate == (coldRate{}) {
-		p.coldPacers = nil
+	c := &p.cold
+	paused := now.Sub(c.checkedAt) > maxColdGap // Also set for the first update.
+	c.checkedAt = now
+	if paused {
+		c.grantFrom = now.Add(newHomeDelay)
+	}
+	if c.fullRate == (coldRate{}) {
+		c.pacers = nil
 		return
 	}
 	for _, s := range p.servers.Servers() {
-		pacer, isCold := p.coldPacers[s], s.IsCold(now)
+		pacer, isCold := c.pacers[s], s.IsCold(now)
 		switch {
 		case isCold && pacer == nil:
-			if p.coldPacers == nil {
-				p.coldPacers = make(map[*tracker.Server]*coldPacer)
+			if c.pacers == nil {
+				c.pacers = make(map[*tracker.Server]*coldPacer)
 			}
 			pacer = new(coldPacer)
-			pacer.restart(now, p.coldRate, s.InFlight())
-			p.coldPacers[s] = pacer
+			pacer.restart(now, c.grantFrom, c.rate, s.InFlight())
+			c.pacers[s] = pacer
 			p.recallUnfit(now, s)
 			p.noteCold(now, s, "warm", "cold for "+s.ColdUntil().Sub(now).Round(time.Millisecond).String())
 		case isCold && paused:
-			pacer.restart(now, p.coldRate, s.InFlight())
+			pacer.restart(now, c.grantFrom, c.rate, s.InFlight())
 		case !isCold && pacer != nil:
-			delete(p.coldPacers, s)
+			delete(c.pacers, s)
 			p.noteCold(now, s, "cold", "warm")
 		}
 	}
+	p.applyFleetShare(now)
+}
+
+// applyFleetShare adapts the rate to the share of the fleet that this home reaches.
+func (p *Pool) applyFleetShare(now time.Time) {
+	c := &p.cold
+	if p.ColdLimits.FleetShare == nil || len(c.pacers) == 0 {
+		return
+	}
+	before := c.rate.interval
+	c.rate = c.fullRate.withShare(p.ColdLimits.FleetShare())
+	for s, pacer := range c.pacers {
+		next := now.Add(c.rate.interval)
+		switch {
+		case c.rate.interval > before:
+			pacer.restart(now, c.grantFrom, c.rate, s.InFlight())
+		case c.rate.interval < before && pacer.nextAt.After(next):
+			pacer.restart(now, c.grantFrom, c.rate, 0)
+		}
+	}
 }
 
 // noteCold adds the start or end of a cold start to the audit trail.
@@ -131,7 +207,7 @@
 
 // isLimited reports whether s is cold and the calls to it are limited.
 func (p *Pool) isLimited(now time.Time, s *tracker.Server) bool {
-	return p.coldRate != coldRate{} && s.IsCold(now)
+	return p.cold.rate != coldRate{} && s.IsCold(now)
 }
 
 // allowsCold reports whether the limit of a cold server allows a grant; it allows all to
@@ -140,14 +216,14 @@
 	if !p.isLimited(now, s) {
 		return true
 	}
-	pacer := p.coldPacers[s]
-	return pacer != nil && pacer.allows(now, p.coldRate, s.InFlight())
+	pacer := p.cold.pacers[s]
+	return pacer != nil && pacer.allows(now, p.cold.rate, s.InFlight())
 }
 
 // preferWarm returns the candidates that are not cold, or all if all of them are.
 func (p *Pool) preferWarm(all []picker.Candidate[*tracker.Server]) []picker.Candidate[*tracker.Server] {
-	isCold := func(c picker.Candidate[*tracker.Server]) bool { return p.coldPacers[c.Value] != nil }
-	if len(p.coldPacers) == 0 || !slices.ContainsFunc(all, func(c picker.Candidate[*tracker.Server]) bool { return !isCold(c) }) {
+	isCold := func(c picker.Candidate[*tracker.Server]) bool { return p.cold.pacers[c.Value] != nil }
+	if len(p.cold.pacers) == 0 || !slices.ContainsFunc(all, func(c picker.Candidate[*tracker.Server]) bool { return !isCold(c) }) {
 		return all
 	}
 	return slices.DeleteFunc(all, isCold)
@@ -155,14 +231,14 @@
 
 // countCold counts a call to s, if s is cold.
 func (p *Pool) countCold(now time.Time, s *tracker.Server) {
-	if pacer := p.coldPacers[s]; pacer != nil {
-		pacer.count(now, p.coldRate)
+	if pacer := p.cold.pacers[s]; pacer != nil {
+		pacer.count(now, p.cold.rate)
 	}
 }
 
 // recordColdEnd records the end of the grant g with the result r, or without one.
 func (p *Pool) recordColdEnd(now time.Time, g *grant, r *tracker.Result) {
-	pacer := p.coldPacers[g.server]
+	pacer := p.cold.pacers[g.server]
 	switch {
 	case pacer == nil, g.kept, g.unused:
 	case r == nil || r.Unanswered:
@@ -172,10 +248,18 @@
 	}
 }
 
+// countWithheldCold counts a request that waits although a slot is free, since its server
+// is cold.
+func (p *Pool) countWithheldCold(now time.Time, avoid []netip.AddrPort) {
+	if p.cold.withheld != nil && p.withholdsCold(now, avoid) {
+		p.cold.withheld.Add(1)
+	}
+}
+
 // withholdsCold reports whether a free slot is withheld from a call that must not use
 // avoid, because its server is cold.
 func (p *Pool) withholdsCold(now time.Time, avoid []netip.AddrPort) bool {
-	for s := range p.coldPacers {
+	for s := range p.cold.pacers {
 		if s.FreeSlots(now) > 0 && !p.allowsCold(now, s) && !slices.Contains(avoid, s.Address) {
 			return true
 		}
@@ -191,7 +275,7 @@
 		if st := s.State(now); st == tracker.Leaving || st == tracker.Draining || st == tracker.Ejected || slices.Contains(avoid, s.Address) {
 			continue
 		}
-		pacer := p.coldPacers[s]
+		pacer := p.cold.pacers[s]
 		if pacer == nil {
 			return 0, false
 		}
@@ -206,13 +290,13 @@
 	if servers == 0 {
 		return 0, false
 	}
-	return min(next+time.Duration(n-1)*p.coldRate.interval/time.Duration(servers), warm), true
+	return min(next+time.Duration(n-1)*p.cold.rate.interval/time.Duration(servers), warm), true
 }
 
 // missesTargetCold reports whether qr misses its target as the n-th call from now, since
 // all servers that may run it are cold.
 func (p *Pool) missesTargetCold(now time.Time, qr *queuedRequest, n int) bool {
-	if len(p.coldPacers) == 0 {
+	if len(p.cold.pacers) == 0 {
 		return false
 	}
 	wait, ok := p.coldWait(now, qr.Avoid, n)
@@ -231,14 +315,14 @@
 // coldSlots returns the slots of s that count for the rate at which a pool completes
 // work: slots, or less if the limit of a cold server leaves fewer of them in use.
 func (p *Pool) coldSlots(s *tracker.Server, slots float64) float64 {
-	if p.coldPacers[s] == nil {
+	if p.cold.pacers[s] == nil {
 		return slots
 	}
-	return min(slots/coldSlowdown, p.meanHoldTime/float64(p.coldRate.interval))
+	return min(slots/coldSlowdown, p.meanHoldTime/float64(p.cold.rate.interval))
 }
 
 // ColdServers returns the number of cold servers whose calls are limited.
-func (p *Pool) ColdServers() int { return len(p.coldPacers) }
+func (p *Pool) ColdServers() int { return len(p.cold.pacers) }
 
 // ColdServers returns the number of cold servers whose calls this instance limits as
 // the home of their pools.
@@ -259,5 +343,5 @@
 // coldReason describes the limit of a cold server for operators.
 func (p *Pool) coldReason(now time.Time, s *tracker.Server) string {
 	return "cold for " + s.ColdUntil().Sub(now).Round(time.Millisecond).String() + ", at most " +
-		strconv.FormatFloat(1/p.coldRate.interval.Seconds(), 'f', 1, 64) + " calls/s"
+		strconv.FormatFloat(1/p.cold.rate.interval.Seconds(), 'f', 1, 64) + " calls/s"
 }
--- a/internal/route/allocator/pool.go
+++ b/internal/route/allocator/pool.go
@@ -4,7 +4,6 @@
 	"container/list"
 	"net/netip"
 	"slices"
-	"sync/atomic"
 	"time"
 
 	"sardinelever.example/sardinelever/internal/config/parser"
@@ -26,9 +25,8 @@
 	StartProbe func(*tracker.Server)          // Starts a probe, whose result goes to RecordProbe; nil means that servers cannot be probed.
 	// MayProbe reports whether a server may be probed now; nil means always. A server
 	// that this instance may not probe is still granted to others.
-	MayProbe func(time.Time, *tracker.Server) bool
-	// ColdBound limits the calls to cold servers; see newColdRate.
-	ColdBound parser.ColdBound
+	MayProbe   func(time.Time, *tracker.Server) bool
+	ColdLimits ColdLimits // Limits the calls to cold servers.
 
 	servers         tracker.Pool
 	config          parser.Service
@@ -44,10 +42,7 @@
 	slotRatio       float64   // Slots of the whole service divided by those of the pool.
 	candidateBuffer []picker.Candidate[*tracker.Server]
 	orderBuffer     []*queuedRequest // Reused by serviceOrder.
-	coldRate        coldRate
-	coldPacers      map[*tracker.Server]*coldPacer // Of the cold servers.
-	coldCheckedAt   time.Time
-	coldWithheld    *atomic.Uint64 // Counts the requests that got no slot at once because its server was cold; may be nil.
+	cold            coldState
 	// awaitingProbes is set if the last call of chooseByFreshReports chose no
 	// server because probes are in progress.
 	awaitingProbes bool
@@ -107,7 +102,7 @@
 		members = withoutReplaced(PoolMembers(s, p.Key))
 		p.slotRatio = serviceSlotRatio(s, members)
 	}
-	p.coldRate = newColdRate(p.config.Cold.Rate, p.ColdBound)
+	p.setColdRate(newColdRate(p.config.Cold.Rate, p.ColdLimits.Bound))
 	if first {
 		p.servers = tracker.Pool{Settings: p.Settings, Audit: p.Audit}
 		p.servers.Settings.Slots = p.config.Slots
@@ -190,9 +185,7 @@
 	if p.queued[req.ID] == nil {
 		return
 	}
-	if p.coldWithheld != nil && p.withholdsCold(now, req.Avoid) {
-		p.coldWithheld.Add(1)
-	}
+	p.countWithheldCold(now, req.Avoid)
 	newestFirst := q.overloaded(now)
 	switch {
 	case p.missesTargetCold(now, qr, p.queuedUpTo(req.Rank)):
@@ -371,7 +364,7 @@
 func (p *Pool) removeServer(s *tracker.Server) {
 	p.servers.RemoveServer(s)
 	p.nearlyFull.removeServer(s)
-	delete(p.coldPacers, s)
+	delete(p.cold.pacers, s)
 }
 
 // isListed reports whether the routing table lists a server at addr for the
