Give back a late slot while its call waits for a connection

A call on the slot of a cold server waited for a free connection until its deadline, and only then noticed that the slot may no longer be used. It now stops at Attempt.SendBy and gets another server.

--- a/internal/call/sender/pool.go
+++ b/internal/call/sender/pool.go
@@ -136,15 +136,24 @@
 	}
 }
 
-// awaitChange returns when wait is closed or a statement of a backend server changes.
+// awaitChange returns when wait is closed or a statement of a backend server changes. The
+// error is ErrWithheld when the time of use passes before.
 func (p *connPool) awaitChange(ctx context.Context, wait <-chan struct{}, r *connRequest) error {
 	statements := r.withholder.Changed()
 	if r.isWithheld() {
 		return ErrWithheld
 	}
+	var late <-chan time.Time
+	if !r.sendBy.IsZero() {
+		t := time.NewTimer(time.Until(r.sendBy))
+		defer t.Stop()
+		late = t.C
+	}
 	select {
 	case <-wait:
 	case <-statements:
+	case <-late:
+		return ErrWithheld
 	case <-ctx.Done():
 		return ctx.Err()
 	}
