Document cold starts and show them in the status

Operators could not see why a server that has just started gets few calls. The line of a server in the status gets cold=TIME while its calls are limited, and names the rate when a free slot is withheld.

--- a/internal/instance/runner/status.go
+++ b/internal/instance/runner/status.go
@@ -72,6 +72,9 @@
 		if availability == "" {
 			availability = "gets work"
 		}
+		if b.Cold > 0 {
+			availability += "\tcold=" + b.Cold.Round(time.Millisecond).String()
+		}
 		_, _ = fmt.Fprintf(w, "server\t%s\t%s\t%s\t%s\tbusy=%d/%d\tlimit=%d\tlatency=%s\tfailures=%.2f\t%s\n",
 			s.Key, b.Name, b.Address, b.State, b.InFlight, b.Slots, b.Limit, b.Latency.Round(time.Microsecond), b.FailureRatio, availability)
 	}
--- a/internal/route/allocator/cold.go
+++ b/internal/route/allocator/cold.go
@@ -341,7 +341,6 @@
 func (al *Allocator) ColdWithheld() uint64 { return al.coldWithheld.Load() }
 
 // coldReason describes the limit of a cold server for operators.
-func (p *Pool) coldReason(now time.Time, s *tracker.Server) string {
-	return "cold for " + s.ColdUntil().Sub(now).Round(time.Millisecond).String() + ", at most " +
-		strconv.FormatFloat(1/p.cold.rate.interval.Seconds(), 'f', 1, 64) + " calls/s"
+func (p *Pool) coldReason() string {
+	return "at most " + strconv.FormatFloat(1/p.cold.rate.interval.Seconds(), 'g', 2, 64) + " calls/s while it is cold"
 }
--- a/internal/route/allocator/doc.go
+++ b/internal/route/allocator/doc.go
@@ -28,7 +28,10 @@
 //   - Queued: the request waits for a slot.
 //   - Offer: a slot of a backend server is granted. With Keep set, the entry may
 //     keep it after the call. Pace and Age are the last reported slowdown of the
-//     server and the age of that report.
+//     server and the age of that report. With Cold set, the server is in a cold start,
+//     and the call has to start within MaxColdDelay of the ways of Ask and Offer, which
+//     the entry computes by Wait, the time that the request waited; see
+//     docs/design/cold-servers.md.
 //   - Refuse: the request gets no slot. Reason is full when the queue of the
 //     rank is full, late when the call would miss its deadline or its target,
 //     and none when no backend server is allowed to run the call. After is the
--- a/internal/route/allocator/status.go
+++ b/internal/route/allocator/status.go
@@ -26,6 +26,7 @@
 	FailureRatio  float64       // Share of failed calls in the failure window.
 	ReportedCalls int           // Calls in flight in the last load report; -1 without a report.
 	ReportAge     time.Duration // Age of the load report.
+	Cold          time.Duration // Time for which the server is still cold and its calls are limited; 0 when it is not.
 	BlockedReason string        // Why the server gets no calls; empty if it does get calls.
 }
 
@@ -74,11 +75,14 @@
 		Limit: server.Limit(), InFlight: server.InFlight(), Free: server.FreeSlots(now), Score: p.serverScore(now, server),
 		Latency: p.servers.ExpectedLatency(now, server), FailureRatio: ratio, ReportedCalls: reportedCalls, ReportAge: age,
 	}
+	if p.isLimited(now, server) {
+		s.Cold = server.ColdUntil().Sub(now)
+	}
 	switch {
 	case s.State != tracker.Ready && s.State != tracker.Trial:
 		s.BlockedReason = s.State.String()
 	case !p.allowsCold(now, server):
-		s.BlockedReason = p.coldReason(now, server)
+		s.BlockedReason = p.coldReason()
 	case s.Free > 0:
 	case s.InFlight >= s.Limit:
 		s.BlockedReason = fmt.Sprintf("%d of %d slots in use", s.InFlight, s.Limit)
--- a/internal/route/tracker/doc.go
+++ b/internal/route/tracker/doc.go
@@ -24,4 +24,6 @@
 //   - cold: the server was added to a running pool or has returned from an
 //     ejection. Its limit starts at 1 and rises faster than that of other
 //     servers.
+//   - cold start (IsCold): the time after a start, by the statement of the server, in
+//     which it works more slowly and must get few calls.
 package tracker
