Tell callers when a cold service takes the next call

When all servers that a call may use are cold, its Retry-After came from the length of the queue, which is short because calls are refused early; callers returned after 100 ms and were refused again. It is now at least the time of their turn at the rate of the cold servers, or of the end of the first cold start.

TestColdRetryAfter: 390 to 400 ms for one server whose next call is due 400 ms after its start.

--- a/internal/route/allocator/cold_test.go
+++ b/internal/route/allocator/cold_test.go
@@ -27,12 +27,13 @@
 	*simulation
 	servers []*coldServer
 	homes   []*coldHome
-	homeOf  func(n uint64) int // Home that the n-th call asks.
-	calls   map[uint64]*coldCall
+	homeOf  func(n int) int // Home that the n-th call asks.
+	sent    int
 	stalled time.Time // Time until which calls do not reach the servers.
 	served  int
 	refused int
 	waited  time.Duration // Longest wait of a refused call.
+	after   time.Duration // Shortest RetryAfter of a refused call.
 }
 
 type coldServer struct {
@@ -40,15 +41,8 @@
 	coldUntil time.Time
 	inFlight  int
 	arrivals  []time.Time // While the server was cold.
-	warm      int         // Arrivals while it was not.
 }
 
-type coldCall struct {
-	home   *coldHome
-	sentAt time.Time
-}
-
-// coldHome is one home; it is the owner of the requests that are sent to it.
 type coldHome struct {
 	*coldFleet
 	pool    *allocator.Pool
@@ -56,9 +50,15 @@
 	backlog []func() // Messages that arrived while the home was frozen.
 }
 
+// coldCall is a call and the owner of its request.
+type coldCall struct {
+	*coldHome
+	sentAt time.Time
+}
+
 // newColdFleet returns homes that have run for some time when the servers turn cold.
 func newColdFleet(servers int, cold time.Duration, homes int) *coldFleet {
-	f := &coldFleet{simulation: newSimulation(0, 1), calls: make(map[uint64]*coldCall), homeOf: func(n uint64) int { return int(n) % homes }}
+	f := &coldFleet{simulation: newSimulation(0, 1), homeOf: func(n int) int { return n % homes }, after: time.Hour}
 	for i := range servers {
 		f.servers = append(f.servers, &coldServer{addr: serverAddr(i)})
 	}
@@ -95,14 +95,11 @@
 func (h *coldHome) applyTable() {
 	l := &reader.List{}
 	for _, s := range h.servers {
-		l.Entries = append(l.Entries, reader.Entry{
-			Name: s.addr.String(), Address: s.addr, Zone: "a", Service: "s", Slots: 6, Cold: max(s.coldUntil.Sub(h.now), 0), Sequence: uint64(h.now.UnixNano()),
-		})
+		l.Entries = append(l.Entries, reader.Entry{Name: s.addr.String(), Address: s.addr, Zone: "a", Service: "s", Slots: 6, Cold: max(s.coldUntil.Sub(h.now), 0)})
 	}
-	b := &parser.Bundle{Version: 1, Services: []parser.Service{{
+	t := router.NewRoutingTable(&parser.Bundle{Version: 1, Services: []parser.Service{{
 		Name: "s", Slots: 1, Probe: parser.Probe{Fresh: parser.Duration(30 * time.Millisecond)}, Cold: parser.Cold{Time: parser.Duration(3 * time.Second), Rate: 2.5},
-	}}}
-	t := router.NewRoutingTable(b, l)
+	}}}, l)
 	new(router.ColdSchedule).Mark(h.now, t)
 	h.pool.ApplyTable(h.now, t)
 }
@@ -130,13 +127,15 @@
 	for _, message := range h.backlog {
 		message()
 	}
-	h.backlog = nil
+}
+
+func (f *coldFleet) server(addr netip.AddrPort) *coldServer {
+	return f.servers[slices.IndexFunc(f.servers, func(s *coldServer) bool { return s.addr == addr })]
 }
 
 func (h *coldHome) startProbe(s *tracker.Server) {
-	i := slices.IndexFunc(h.servers, func(o *coldServer) bool { return o.addr == s.Address })
 	h.schedule(probeDuration, func() {
-		server := h.servers[i]
+		server := h.server(s.Address)
 		r := tracker.ProbeResult{
 			Result: tracker.Result{ReportedCalls: server.inFlight, Slowdown: 1}, Age: probeDuration / 2,
 			ColdStated: true, Cold: max(server.coldUntil.Sub(h.now), 0),
@@ -148,55 +147,50 @@
 // sendCalls schedules calls at an even rate for the duration d.
 func (f *coldFleet) sendCalls(perSecond int, d time.Duration) {
 	for i := range int(float64(perSecond) * d.Seconds()) {
-		n := uint64(len(f.calls) + i + 1)
-		f.schedule(time.Duration(i)*time.Second/time.Duration(perSecond), func() { f.sendCall(n) })
+		f.schedule(time.Duration(i)*time.Second/time.Duration(perSecond), f.sendCall)
 	}
 }
 
-func (f *coldFleet) sendCall(n uint64) {
-	h, sentAt := f.homes[f.homeOf(n)], f.now
-	f.calls[n] = &coldCall{h, sentAt}
-	h.deliver(func() {
-		h.pool.RequestSlot(h.now, allocator.SlotRequest{
-			ID: allocator.ID{Owner: h, Number: n}, Rank: parser.Normal, Target: sentAt.Add(coldTestTarget), Deadline: sentAt.Add(2 * time.Second),
+func (f *coldFleet) sendCall() {
+	f.sent++
+	c := &coldCall{f.homes[f.homeOf(f.sent)], f.now}
+	c.deliver(func() {
+		c.pool.RequestSlot(c.now, allocator.SlotRequest{
+			ID: allocator.ID{Owner: c}, Rank: parser.Normal, Target: c.sentAt.Add(coldTestTarget), Deadline: c.sentAt.Add(2 * time.Second),
 		})
 	})
 }
 
 // ReceiveReply starts a granted call, unless its slot is late, as an entry does.
-func (h *coldHome) ReceiveReply(r allocator.Reply) {
-	c := h.calls[r.Number]
+func (c *coldCall) ReceiveReply(r allocator.Reply) {
 	switch r.Kind {
 	case allocator.ReplyRefused:
-		h.refused++
-		h.waited = max(h.waited, h.now.Sub(c.sentAt))
+		c.refused++
+		c.waited, c.after = max(c.waited, c.now.Sub(c.sentAt)), min(c.after, r.RetryAfter)
 	case allocator.ReplyOffered:
-		h.schedule(coldTestLink, func() {
-			if r.Cold && h.now.After(c.sentAt.Add(r.Wait+allocator.MaxColdDelay)) {
-				h.deliver(func() { h.pool.CancelRequest(h.now, allocator.ID{Owner: h, Number: r.Number}) })
+		c.schedule(coldTestLink, func() {
+			if r.Cold && c.now.After(c.sentAt.Add(r.Wait+allocator.MaxColdDelay)) {
+				c.deliver(func() { c.pool.CancelRequest(c.now, allocator.ID{Owner: c}) })
 				return
 			}
-			h.schedule(max(coldTestLink, h.stalled.Sub(h.now)), func() { h.arrive(r) })
+			c.schedule(max(coldTestLink, c.stalled.Sub(c.now)), func() { c.arrive(c.server(r.Server)) })
 		})
 	}
 }
 
-// arrive runs the call of offer r at its server.
-func (h *coldHome) arrive(r allocator.Reply) {
-	s := h.servers[slices.IndexFunc(h.servers, func(o *coldServer) bool { return o.addr == r.Server })]
+// arrive runs the call at s.
+func (c *coldCall) arrive(s *coldServer) {
 	took := coldTestWork
-	if h.now.Before(s.coldUntil) {
-		s.arrivals = append(s.arrivals, h.now)
+	if c.now.Before(s.coldUntil) {
+		s.arrivals = append(s.arrivals, c.now)
 		took *= 2
-	} else {
-		s.warm++
 	}
 	s.inFlight++
-	h.schedule(took, func() {
+	c.schedule(took, func() {
 		s.inFlight--
-		h.served++
-		h.deliver(func() {
-			h.pool.ReleaseSlot(h.now, allocator.ID{Owner: h, Number: r.Number}, tracker.Result{ReportedCalls: s.inFlight, Latency: took, Slowdown: 1})
+		c.served++
+		c.deliver(func() {
+			c.pool.ReleaseSlot(c.now, allocator.ID{Owner: c}, tracker.Result{ReportedCalls: s.inFlight, Latency: took, Slowdown: 1})
 		})
 	})
 }
@@ -242,6 +236,17 @@
 	}
 }
 
+// TestColdRetryAfter guards against callers that are told to return before a cold server
+// gets its next call.
+func TestColdRetryAfter(t *testing.T) {
+	f := newColdFleet(1, 3*time.Second, 1)
+	f.sendCall() // The first call is granted 400 ms after the start, and takes too long then.
+	f.run(10 * time.Millisecond)
+	if f.refused != 1 || f.after < 390*time.Millisecond || f.after > 400*time.Millisecond {
+		t.Errorf("got %d refused, with a retry after %v, want one and about 400ms", f.refused, f.after)
+	}
+}
+
 // TestColdServersBesideWarm guards against calls to cold servers while warm ones are
 // free, and against cold servers that stay unused while calls are refused.
 func TestColdServersBesideWarm(t *testing.T) {
@@ -272,7 +277,7 @@
 		{"three homes", func() *coldFleet { return newColdFleet(3, cold, 3) }},
 		{"changes of home", func() *coldFleet {
 			f := newColdFleet(3, cold, 1)
-			f.homeOf = func(uint64) int { return len(f.homes) - 1 }
+			f.homeOf = func(int) int { return len(f.homes) - 1 }
 			for i := range 3 {
 				f.schedule(time.Duration(i+1)*2*time.Second, func() { f.addHome(nil) })
 			}
@@ -291,16 +296,16 @@
 			for range n - 1 {
 				f.addHome(share)
 			}
-			f.homeOf = func(i uint64) int { return int(i) % n }
+			f.homeOf = func(i int) int { return i % n }
 			return f
 		}},
 		{"frozen home", func() *coldFleet {
 			f := newColdFleet(3, cold, 2)
-			f.homeOf = func(n uint64) int {
+			f.homeOf = func(n int) int {
 				if f.homes[0].frozen && n%10 > 0 { // Some entries still ask the frozen home.
 					return 1
 				}
-				return int(n % 2)
+				return n % 2
 			}
 			f.schedule(time.Second, func() { f.homes[0].frozen = true })
 			f.schedule(4*time.Second, f.homes[0].wake)
--- a/internal/route/allocator/dispatch.go
+++ b/internal/route/allocator/dispatch.go
@@ -254,6 +254,9 @@
 	if p.usesFreshReports() {
 		after = max(p.slowdownAdjustedWait(now, req.Rank), minRetryAfter)
 	}
+	if wait, ok := p.coldWait(now, req.Avoid, p.queuedUpTo(req.Rank)+1); ok {
+		after = max(after, wait)
+	}
 	if reason == ReasonNone {
 		after = noServerRetryAfter
 	}
