Let a call use a cold server again whose slot came too late

A slot of a cold server that arrived too late put its server among those that the call avoids, so a call to a service with few servers was refused for lack of servers. Such a slot is now given back before the server counts as used. The distance of grants is bounded by an hour, so that a very low rate in the configuration cannot overflow it.

--- a/internal/instance/runner/active_call.go
+++ b/internal/instance/runner/active_call.go
@@ -59,6 +59,10 @@
 	if err != nil {
 		return nil, err
 	}
+	if slot.IsLate(time.Now()) {
+		slot.Abandon()
+		return nil, &sender.Failure{Outcome: sender.Rejected, Reason: "withheld", Err: sender.ErrWithheld}
+	}
 	a.countAttempt(attempt.Number, time.Since(start))
 	attempt.AddServer(slot.Server)
 	server := a.findServer(slot.Server)
--- a/internal/route/acquirer/cold_test.go
+++ b/internal/route/acquirer/cold_test.go
@@ -30,5 +30,8 @@
 		if slot.SendBy.Before(start.Add(time.Second)) || slot.SendBy.After(time.Now().Add(allocator.MaxColdDelay)) {
 			t.Errorf("%s: got a slot to be used until %v after the start, want its wait of over a second and at most %v more", in.Name, slot.SendBy.Sub(start), allocator.MaxColdDelay)
 		}
+		if slot.IsLate(slot.SendBy) || !slot.IsLate(slot.SendBy.Add(1)) {
+			t.Errorf("%s: got a slot that is not late after %v alone", in.Name, slot.SendBy)
+		}
 	}
 }
--- a/internal/route/acquirer/slot.go
+++ b/internal/route/acquirer/slot.go
@@ -23,6 +23,10 @@
 	released   bool
 }
 
+// IsLate reports whether the slot may no longer be used at now. It is then to be given
+// back by Abandon.
+func (s *Slot) IsLate(now time.Time) bool { return !s.SendBy.IsZero() && now.After(s.SendBy) }
+
 // Release gives the slot back with the result of the call. It must be called once;
 // further calls have no effect.
 func (s *Slot) Release(r Result) {
--- a/internal/route/allocator/cold.go
+++ b/internal/route/allocator/cold.go
@@ -65,7 +65,7 @@
 	// In a window of this length, in which the calls that arrive within a second were
 	// granted, n grants have at least a distance of window/n.
 	window := time.Second + MaxColdDelay
-	r.interval = max(time.Duration(float64(time.Second)/perSecond), window/time.Duration(max(share-r.outstanding, 1)))
+	r.interval = max(time.Duration(min(float64(time.Second)/perSecond, float64(time.Hour))), window/time.Duration(max(share-r.outstanding, 1)))
 	return r
 }
 
