--- a/internal/config/parser/settings.go
+++ b/internal/config/parser/settings.go
@@ -25,6 +25,7 @@
 	Collect int              `toml:"collect,omitempty"` // Growth of the heap between garbage collections in percent; 0 means that of the Go runtime.
 	Retry   Retry            `toml:"retry,omitempty"`
 	Zones   Zones            `toml:"zones,omitempty"`
+	Cold    ColdBound        `toml:"cold,omitempty"`
 	// Capacity is the processor time that the instance may use, relative to other
 	// instances. Those with more of it take on more work for the others; 0 means
 	// unknown.
@@ -48,6 +49,13 @@
 	Price Duration `toml:"price,omitempty"` // Delay that one MB between zones is worth; 0 means that calls which wait ask all zones.
 }
 
+// ColdBound limits the calls that all instances together send to one cold backend
+// server in any second: Overage x rate of its service + Slack.
+type ColdBound struct {
+	Overage float64 `toml:"overage,omitempty"` // 0 means no limit.
+	Slack   float64 `toml:"slack,omitempty"`
+}
+
 // TLS names the files of certificate, key and CA certificates for the connections
 // between instances.
 type TLS struct {
--- a/internal/instance/runner/components.go
+++ b/internal/instance/runner/components.go
@@ -44,6 +44,7 @@
 	rebuildMu      sync.Mutex // Serializes updates of routingTable and guards appliedCollect.
 	appliedCollect int        // Growth of the heap in percent that applyCollect set last.
 	withholder     withholder.Withholder
+	coldSchedule   router.ColdSchedule // Guarded by rebuildMu.
 	audit          auditor.Trail
 	bundleStore    keeper.BundleStore
 	pauseDetector  detector.PauseDetector
@@ -71,6 +72,7 @@
 	c.withholder.Audit, c.withholder.Metrics, c.withholder.OnOwnLeaving = &c.audit, c.metrics, c.slotClient.AnnounceLeaving
 	c.withholder.Log = l
 	meter.RegisterPausedServers(c.metricsRegistry, c.pausedServers)
+	meter.RegisterColdServers(c.metricsRegistry, c.allocator.ColdServers, c.allocator.ColdWithheld)
 	c.pauseDetector.OnPause = c.dropStaleData
 	c.initPlatform()
 	c.initFleet()
@@ -128,7 +130,7 @@
 
 func (c *components) initRouting() {
 	s := c.settings
-	c.allocator = allocator.Allocator{RoutingTable: &c.routingTable, Audit: &c.audit, Withholder: &c.withholder}
+	c.allocator = allocator.Allocator{RoutingTable: &c.routingTable, Audit: &c.audit, Withholder: &c.withholder, ColdLimits: allocator.ColdLimits{Bound: s.Cold, FleetShare: c.fleetShare}}
 	if c.platform != nil {
 		c.allocator.StartProbe = c.startProbe
 	}
@@ -259,6 +261,7 @@
 	b, _ := c.bundleStore.CurrentBundle()
 	table := router.NewRoutingTable(b, c.currentList())
 	c.withholder.MarkLeaving(time.Now(), table)
+	c.coldSchedule.Mark(time.Now(), table)
 	c.routingTable.Store(table)
 	c.applyCollect(table)
 	servers := make(map[netip.AddrPort]bool)
--- a/internal/route/acquirer/slot.go
+++ b/internal/route/acquirer/slot.go
@@ -12,6 +12,7 @@
 	Home        string        // Instance that granted the slot; empty for baselines and kept slots.
 	Slowdown    float64       // Slowdown of the server by which the home chose it; 0 when unknown.
 	SlowdownAge time.Duration // Age of the slowdown when the slot was granted.
+	SendBy      time.Time     // Latest start of the call on a cold server; zero on others.
 
 	ask       *poolAsk     // Ask that led to the slot; nil for baselines.
 	onRelease func(Result) // Called by Release instead of reporting to homes; set by baselines only.
@@ -22,6 +23,10 @@
 	released   bool
 }
 
+// IsLate reports whether the slot may no longer be used at now. It is then to be given
+// back by Abandon.
+func (s *Slot) IsLate(now time.Time) bool { return !s.SendBy.IsZero() && now.After(s.SendBy) }
+
 // Release gives the slot back with the result of the call. It must be called once;
 // further calls have no effect.
 func (s *Slot) Release(r Result) {
--- a/internal/route/allocator/allocator.go
+++ b/internal/route/allocator/allocator.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"sardinelever.example/sardinelever/internal/config/parser"
@@ -31,6 +32,9 @@
 	// then shows these servers as leaving. It also says which servers want no probes
 	// of this instance. nil ignores the reports and allows all probes.
 	Withholder *withholder.Withholder
+	ColdLimits ColdLimits // Limits the calls to cold servers.
+
+	coldWithheld atomic.Uint64
 
 	mu    sync.RWMutex
 	pools map[PoolKey]*poolWorker
@@ -169,7 +173,7 @@
 		al.pools = make(map[PoolKey]*poolWorker)
 	}
 	w := &poolWorker{
-		pool: Pool{Key: k, Audit: al.Audit, ReportLoad: al.ReportLoad}, routingTable: al.RoutingTable, startProbe: al.StartProbe, withholder: al.Withholder,
+		pool: Pool{Key: k, Audit: al.Audit, ReportLoad: al.ReportLoad, ColdLimits: al.ColdLimits, cold: coldState{withheld: &al.coldWithheld}}, routingTable: al.RoutingTable, startProbe: al.StartProbe, withholder: al.Withholder,
 		commands: make(chan *command, maxPendingCommands), quit: make(chan struct{}),
 	}
 	if al.StartProbe != nil {
--- a/internal/route/allocator/pool.go
+++ b/internal/route/allocator/pool.go
@@ -29,6 +29,7 @@
 	// ReportLoad reports whether replies carry the load of the pool; nil means that they
 	// do not.
 	ReportLoad func() bool
+	ColdLimits ColdLimits // Limits the calls to cold servers.
 
 	servers         tracker.Pool
 	config          parser.Service
@@ -45,6 +46,7 @@
 	slotRatio       float64   // Slots of the whole service divided by those of the pool.
 	candidateBuffer []picker.Candidate[*tracker.Server]
 	orderBuffer     []*queuedRequest // Reused by serviceOrder.
+	cold            coldState
 	// awaitingProbes is set if the last call of chooseByFreshReports chose no
 	// server because probes are in progress.
 	awaitingProbes bool
@@ -62,6 +64,7 @@
 	nearlyFullTime time.Duration // Total time for which the server was nearly full until the grant.
 	kept           bool          // No call uses the slot; the entry keeps it for its next call.
 	recalled       bool          // The entry was told to return the kept slot.
+	unused         bool          // The entry returned the slot without a call.
 }
 
 const (
@@ -103,6 +106,7 @@
 		members = withoutReplaced(PoolMembers(s, p.Key))
 		p.slotRatio = serviceSlotRatio(s, members)
 	}
+	p.setColdRate(newColdRate(p.config.Cold.Rate, p.ColdLimits.Bound))
 	if first {
 		p.servers = tracker.Pool{Settings: p.Settings, Audit: p.Audit}
 		p.servers.Settings.Slots = p.config.Slots
@@ -124,6 +128,7 @@
 		s.ProcessStart = member.ProcessStart
 		p.servers.SetServerSlots(now, s, member.Slots)
 		p.servers.SetLeaving(now, s, member.Leaving)
+		s.SetListedCold(member.Cold.Since, member.Cold.Until)
 		p.recallUnfit(now, s)
 	}
 	for _, s := range slices.Clone(p.servers.Servers()) {
@@ -136,6 +141,7 @@
 			p.removeServer(s)
 		}
 	}
+	p.updateCold(now)
 	p.refuseUnservable(now)
 	p.dispatch(now)
 }
@@ -186,8 +192,13 @@
 	if p.queued[req.ID] == nil {
 		return
 	}
+	p.countWithheldCold(now, req.Avoid)
 	newestFirst := q.overloaded(now)
 	switch {
+	case p.missesTargetCold(now, qr, p.queuedUpTo(req.Rank)):
+		p.removeQueued(req.ID)
+		p.refuseRequest(now, req, ReasonLate)
+		return
 	case q.len() > p.queueLimit():
 		dropped := q.requests.Front().Value.(*queuedRequest).SlotRequest
 		if !newestFirst {
@@ -223,6 +234,9 @@
 // for it.
 func (p *Pool) CancelRequest(now time.Time, id ID) {
 	p.removeQueued(id)
+	if g := p.grants[id]; g != nil {
+		g.unused = true
+	}
 	if p.endGrant(id, nil, now) {
 		p.dispatch(now)
 	}
@@ -264,6 +278,7 @@
 func (p *Pool) RecordProbe(now time.Time, addr netip.AddrPort, r tracker.ProbeResult) {
 	if s := p.servers.FindServer(addr); s != nil {
 		p.servers.RecordProbeResult(now, s, r)
+		p.updateCold(now)
 		p.recallUnfit(now, s)
 		p.dispatch(now)
 		p.notifyAllQueued(now)
@@ -285,10 +300,11 @@
 			p.endGrant(id, nil, now)
 		}
 	}
+	p.updateCold(now)
 	p.dispatch(now)
 	p.notifyAllQueued(now)
 	for id, e := range p.queued {
-		if qr := e.Value.(*queuedRequest); p.shouldRefuse(now, qr) {
+		if qr := e.Value.(*queuedRequest); p.shouldRefuse(now, qr) || p.missesTargetCold(now, qr, 1) {
 			p.removeQueued(id)
 			p.refuseRequest(now, qr.SlotRequest, ReasonLate)
 		}
@@ -304,6 +320,10 @@
 // grantSlot counts a slot of s as in use by the call of req.
 func (p *Pool) grantSlot(now time.Time, s *tracker.Server, req SlotRequest) {
 	slowdown, _, _ := s.Slowdown(now)
+	if slowdown > 0 && p.isLimited(now, s) {
+		slowdown = max(slowdown, coldSlowdown)
+	}
+	p.countCold(now, s)
 	p.servers.StartCall(s)
 	if req.Extra {
 		p.countArrival(now, req)
@@ -322,6 +342,7 @@
 		return false
 	}
 	delete(p.grants, id)
+	p.recordColdEnd(now, g, r)
 	if g.kept {
 		p.keptCount--
 	}
@@ -353,6 +374,7 @@
 func (p *Pool) removeServer(s *tracker.Server) {
 	p.servers.RemoveServer(s)
 	p.nearlyFull.removeServer(s)
+	delete(p.cold.pacers, s)
 }
 
 // isListed reports whether the routing table lists a server at addr for the
