Send nothing to the servers of an evacuated zone

The watcher now publishes the evacuated zones with the list of servers, so they travel as configuration and servers do. The routing table marks their servers; entries ask no pool of such a zone, leave its queues when the order comes and give back slots that a home still grants; homes grant none. The zone is checked again before each write of a request. A service without other servers is refused at once with 503, reason none and Retry-After. The order ends when the deletion of its record is known.

Operators see a status line, two audit entries, sardinelever_evacuated_servers and sardinelever_evacuated_calls.

--- a/internal/call/sender/doc.go
+++ b/internal/call/sender/doc.go
@@ -25,7 +25,7 @@
 //	unknown   the backend server may have run the call
 //	failed    the backend server ran the call, which failed
 //
-//	withheld  nothing was sent because the backend server wants no calls
+//	withheld  nothing was sent because the backend server must get no calls
 //	connect   no connection could be opened
 //	write     no byte of the request was written
 //	read      the call was written, and no complete response header arrived, or too many 1xx responses
--- a/internal/call/sender/pool.go
+++ b/internal/call/sender/pool.go
@@ -81,8 +81,9 @@
 	return conn.tracked, nil
 }
 
-// ErrWithheld reports that nothing was sent because the backend server is withheld.
-var ErrWithheld = errors.New("the backend server wants no calls")
+// ErrWithheld reports that nothing was sent because the backend server is withheld or its
+// availability zone is evacuated.
+var ErrWithheld = errors.New("the backend server must get no calls")
 
 // connRequest describes the connection that acquireConn returns.
 type connRequest struct {
@@ -90,17 +91,20 @@
 	maxIdle    time.Duration // Longest idle time; 0 requires a new connection.
 	limit      int           // Most connections that may be open.
 	requestID  string        // ID of a call that was not refused on the connection; may be empty.
+	zone       string        // Availability zone of the backend server.
 	withholder *withholder.Withholder
 }
 
-func (r *connRequest) isWithheld() bool { return r.withholder.IsWithheld(time.Now(), r.lifetime) }
+func (r *connRequest) isWithheld() bool {
+	return r.withholder.IsEvacuated(r.zone) || r.withholder.IsWithheld(time.Now(), r.lifetime)
+}
 
 // acquireConn returns an idle connection that suits r, or a new one. It waits while
 // limit connections are open and none of them is idle. The error is ErrWithheld as soon
 // as the backend server is withheld.
 func (p *connPool) acquireConn(ctx context.Context, transport *http.Transport, r connRequest) (*pooledConn, error) {
 	conn, err := p.awaitConn(ctx, transport, &r)
-	if err == nil && !r.withholder.TryStart(time.Now(), r.lifetime) {
+	if err == nil && (r.withholder.IsEvacuated(r.zone) || !r.withholder.TryStart(time.Now(), r.lifetime)) {
 		_ = conn.Close()
 		return nil, ErrWithheld
 	}
@@ -306,6 +310,13 @@
 	return p.openConns == 0
 }
 
+// countInUse returns the number of open connections that are not idle.
+func (p *connPool) countInUse() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.openConns - len(p.idleConns)
+}
+
 // hasRecentExchange reports whether a connection is in use or was used within
 // maxAge.
 func (p *connPool) hasRecentExchange(maxAge time.Duration) bool {
--- a/internal/call/sender/sender.go
+++ b/internal/call/sender/sender.go
@@ -39,6 +39,7 @@
 	Body             io.ReadCloser // Replaces the body of Request.
 	Server           netip.AddrPort
 	Lifetime         withholder.Lifetime // Lifetime of the backend server that the routing table lists at Server.
+	Zone             string              // Availability zone of the backend server.
 	ServerName       string              // Name of the only backend server that may run the call; empty means any at Server.
 	Number           int                 // Number of the attempt, from 1.
 	RetryBudget      int                 // Extra attempts (retries and hedges) that the backend server and all calls below it may use.
@@ -120,7 +121,7 @@
 func (s *Sender) runExchange(ctx context.Context, x *exchange) (*http.Response, error) {
 	a, pool := x.attempt, x.pool
 	conn, err := pool.acquireConn(ctx, s.transport, connRequest{
-		lifetime: a.Lifetime, maxIdle: x.maxIdle, limit: s.connectionLimit(a.Call.Service.Connections), withholder: s.Withholder, requestID: a.Call.RequestID,
+		lifetime: a.Lifetime, zone: a.Zone, maxIdle: x.maxIdle, limit: s.connectionLimit(a.Call.Service.Connections), withholder: s.Withholder, requestID: a.Call.RequestID,
 	})
 	switch {
 	case errors.Is(err, ErrWithheld):
@@ -281,6 +282,19 @@
 	return p != nil && p.hasRecentExchange(maxAge)
 }
 
+// CountConnsInUse returns the number of connections to servers that carry an exchange.
+func (s *Sender) CountConnsInUse(servers map[netip.AddrPort]bool) (n int) {
+	s.initOnce.Do(s.initialize)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for addr, p := range s.pools {
+		if servers[addr] {
+			n += p.countInUse()
+		}
+	}
+	return n
+}
+
 // RetainServers closes the idle connections to all backend servers that are not
 // in servers, and removes the pools of those without open connections.
 func (s *Sender) RetainServers(servers map[netip.AddrPort]bool) {
--- a/internal/instance/runner/active_call.go
+++ b/internal/instance/runner/active_call.go
@@ -73,7 +73,7 @@
 	}
 	name := a.expectedName(server)
 	outgoing := &sender.Attempt{
-		Call: c, Request: a.r, Body: body, Server: slot.Server, Lifetime: withholder.LifetimeOf(server), ServerName: name, Number: c.Attempt + attempt.Number - 1,
+		Call: c, Request: a.r, Body: body, Server: slot.Server, Lifetime: withholder.LifetimeOf(server), Zone: server.Zone, ServerName: name, Number: c.Attempt + attempt.Number - 1,
 		RetryBudget: attempt.Budget, ForwardInformational: a.forwardInformational,
 		// Only the first attempt of a call that can be hedged may use a connection
 		// that has been idle for long and could be dead.
--- a/internal/instance/runner/adapters.go
+++ b/internal/instance/runner/adapters.go
@@ -116,6 +116,10 @@
 	if service == nil || server == nil {
 		return
 	}
+	if o.withholder.IsEvacuated(server.Zone) {
+		o.allocator.RecordProbe(o.service, o.server, tracker.ProbeResult{Unsent: true})
+		return
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), onDemandProbeTimeout)
 	defer cancel()
 	start := time.Now()
--- a/internal/instance/runner/components.go
+++ b/internal/instance/runner/components.go
@@ -70,6 +70,7 @@
 	c.withholder.Audit, c.withholder.Metrics, c.withholder.OnOwnLeaving = &c.audit, c.metrics, c.slotClient.AnnounceLeaving
 	c.withholder.Log = l
 	meter.RegisterPausedServers(c.metricsRegistry, c.pausedServers)
+	meter.RegisterEvacuation(c.metricsRegistry, c.evacuatedServers, c.evacuatedCalls)
 	c.pauseDetector.OnPause = c.dropStaleData
 	c.initPlatform()
 	c.initFleet()
@@ -258,6 +259,7 @@
 	table := router.NewRoutingTable(b, c.currentList())
 	c.withholder.MarkLeaving(time.Now(), table)
 	c.routingTable.Store(table)
+	c.withholder.SetEvacuatedZones(time.Now(), table.EvacuatedZones) // After Store, so that those who wait see the new pools.
 	servers := make(map[netip.AddrPort]bool)
 	for _, s := range table.Services {
 		for i := range s.Servers {
--- a/internal/operator/meter/metrics.go
+++ b/internal/operator/meter/metrics.go
@@ -79,3 +79,13 @@
 		}))
 	}
 }
+
+// RegisterEvacuation registers in r the number of backend servers in evacuated availability
+// zones and the number of calls that this instance runs there.
+func RegisterEvacuation(r *prometheus.Registry, servers, calls func() int) {
+	r.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "sardinelever_evacuated_servers", Help: "Backend servers that get no requests because their availability zone is evacuated.",
+	}, func() float64 { return float64(servers()) }), prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "sardinelever_evacuated_calls", Help: "Calls of this instance that still run at backend servers in evacuated zones.",
+	}, func() float64 { return float64(calls()) }))
+}
--- a/internal/platform/reader/list.go
+++ b/internal/platform/reader/list.go
@@ -23,4 +23,7 @@
 type List struct {
 	Time    time.Time `json:"time"` // When the list was made, by the platform's clock.
 	Entries []Entry   `json:"entries"`
+	// Evacuated are the availability zones, sorted, whose backend servers must get no
+	// requests by an order of the operator. Only package watcher sets it.
+	Evacuated []string `json:"-"`
 }
--- a/internal/platform/watcher/publication.go
+++ b/internal/platform/watcher/publication.go
@@ -15,8 +15,12 @@
 	for _, r := range changed {
 		delete(w.decodedEntries, r.Key)
 	}
-	list := &reader.List{Time: time.Now(), Entries: w.decodeEntries(live)}
+	orders := w.evacuations
+	list := &reader.List{Time: time.Now(), Entries: w.decodeEntries(live), Evacuated: w.decodeEvacuations(live)}
 	for _, r := range changed {
+		if _, isOrder := orders[r.Key]; r.Deleted && isOrder {
+			continue // Package withholder records the end of the evacuation.
+		}
 		if r.Deleted {
 			w.auditRecord(r.Key, "deleted", revision)
 			continue
--- a/internal/platform/watcher/record.go
+++ b/internal/platform/watcher/record.go
@@ -69,6 +69,9 @@
 	// DecodeEntry returns the backend server that r describes; ok is false when r
 	// describes none.
 	DecodeEntry(r Record) (e reader.Entry, ok bool, err error)
+	// DecodeEvacuation returns the availability zone that r, an order of the operator,
+	// evacuates; zone is empty when r is no such order.
+	DecodeEvacuation(r Record) (zone string, err error)
 	// CompareStates compares two states of one record by the counters that its writer
 	// keeps in the value. It returns -1 if a is the earlier state, 1 if it is the later
 	// one and 0 if the values do not tell.
--- a/internal/platform/watcher/watcher.go
+++ b/internal/platform/watcher/watcher.go
@@ -68,6 +68,7 @@
 	callCount      atomic.Int64
 	storeFailing   atomic.Bool
 	decodedEntries map[string]decodedEntry // Result of the decoding of each record that has not changed since, by key.
+	evacuations    map[string]string       // Evacuated availability zone of each order, by key.
 	malformedKeys  map[string]bool         // Keys of malformed records that were logged.
 	nextStoreCall  time.Time               // No call to the store is made before this time.
 	retryDelay     time.Duration
--- a/internal/route/acquirer/acquisition.go
+++ b/internal/route/acquirer/acquisition.go
@@ -104,15 +104,12 @@
 // awaitSlot asks the first pool and returns when there is a slot, all homes have
 // refused, the deadline has passed or ctx is done.
 func (a *acquisition) awaitSlot(ctx context.Context) (*Slot, error) {
-	first, others, ok := a.client.poolsOf(a.request.Service).choosePools()
-	if !ok {
+	statements := a.client.Withholder.Changed()
+	if !a.askNearestPool() {
 		return nil, &Refusal{Reason: allocator.ReasonNone, RetryAfter: time.Second}
 	}
-	a.otherPools = others
-	a.askPool(first)
 	t := time.NewTimer(min(replyTimeout, time.Until(a.request.Deadline)))
 	defer t.Stop()
-	statements := a.client.Withholder.Changed()
 	for {
 		if a.client.Withholder.HasStatements() && !a.hasUsableServer() {
 			return nil, a.refuseWithheld()
@@ -120,6 +117,7 @@
 		select {
 		case <-statements:
 			statements = a.client.Withholder.Changed()
+			a.leaveEvacuatedPools()
 		case <-a.wake:
 			if s, err := a.processReplies(); s != nil || err != nil {
 				return s, err
@@ -137,6 +135,17 @@
 	}
 }
 
+// askNearestPool asks the first of the pools that the call may use and records the others.
+// It returns false if there are none.
+func (a *acquisition) askNearestPool() bool {
+	first, others, ok := a.client.poolsOf(a.request.Service).choosePools()
+	if ok {
+		a.otherPools, a.othersAsked = others, false
+		a.askPool(first)
+	}
+	return ok
+}
+
 // askPool requests a slot from the home of pool to.
 func (a *acquisition) askPool(to pool) {
 	p := &poolAsk{acquisition: a, pool: to}
--- a/internal/route/acquirer/baseline.go
+++ b/internal/route/acquirer/baseline.go
@@ -43,7 +43,7 @@
 	if s := c.RoutingTable.Load().Services[req.Service]; s != nil {
 		for i := range s.Servers {
 			addr := s.Servers[i].Address
-			if !s.Servers[i].Leaving && !slices.Contains(req.Avoid, addr) {
+			if s.Servers[i].TakesCalls() && !slices.Contains(req.Avoid, addr) {
 				candidates = append(candidates, picker.Candidate[netip.AddrPort]{Value: addr, InFlight: b.inFlight[addr]})
 			}
 		}
--- a/internal/route/acquirer/client.go
+++ b/internal/route/acquirer/client.go
@@ -137,6 +137,11 @@
 		avoid := req.Avoid
 		req.Avoid = append(slices.Clip(avoid), c.withheldServers(req.Service)...)
 		s, err := c.acquireAnySlot(ctx, req)
+		if err == nil && c.isEvacuated(req.Service, s) {
+			s.Abandon() // No pool of this zone is asked any more.
+			req.Avoid = avoid
+			continue
+		}
 		if err != nil || !slices.Contains(c.withheldServers(req.Service), s.Server) {
 			return s, err
 		}
--- a/internal/route/acquirer/paused.go
+++ b/internal/route/acquirer/paused.go
@@ -23,11 +23,11 @@
 	}
 	now, earliest := time.Now(), time.Duration(0)
 	// As in choosePools, calls use other regions only if this one has no server.
-	inRegion := slices.ContainsFunc(s.Servers, func(b router.BackendServer) bool { return !b.Leaving && b.Region == c.Region })
+	inRegion := slices.ContainsFunc(s.Servers, func(b router.BackendServer) bool { return b.TakesCalls() && b.Region == c.Region })
 	for i := range s.Servers {
 		b := &s.Servers[i]
 		l := withholder.LifetimeOf(b)
-		if b.Leaving || c.Withholder.IsLeaving(l) || inRegion && b.Region != c.Region {
+		if !b.TakesCalls() || c.Withholder.IsLeaving(l) || inRegion && b.Region != c.Region {
 			continue
 		}
 		wait := c.Withholder.PauseOf(now, l)
--- a/internal/route/acquirer/poolindex.go
+++ b/internal/route/acquirer/poolindex.go
@@ -46,15 +46,15 @@
 	return index
 }
 
-// groupPools returns the pools of a service that have backend servers which are not
-// leaving. The number of shards counts the leaving ones too, as allocator.PoolMembers does.
+// groupPools returns the pools of a service that have backend servers which take calls.
+// The number of shards counts the other ones too, as allocator.PoolMembers does.
 func (c *Client) groupPools(service string, s *router.Service) *poolsByDistance {
 	type location struct{ zone, region string }
 	serverCounts, activeCounts := make(map[location]int), make(map[location]int)
 	for i := range s.Servers {
 		loc := location{s.Servers[i].Zone, s.Servers[i].Region}
 		serverCounts[loc]++
-		if !s.Servers[i].Leaving {
+		if s.Servers[i].TakesCalls() {
 			activeCounts[loc]++
 		}
 	}
--- a/internal/route/acquirer/slotcache.go
+++ b/internal/route/acquirer/slotcache.go
@@ -105,6 +105,10 @@
 			continue
 		}
 		k.removeAt(i)
+		if a.client.Withholder.IsEvacuated(k.slot.ask.pool.key.Zone) {
+			k.stream.cancelAsk(k.slot.ask)
+			continue
+		}
 		if s := k.useFor(a); s != nil {
 			return s
 		}
--- a/internal/route/acquirer/withheld.go
+++ b/internal/route/acquirer/withheld.go
@@ -40,7 +40,7 @@
 	now := time.Now()
 	for i := range s.Servers {
 		b := &s.Servers[i]
-		if !b.Leaving && !slices.Contains(a.request.Avoid, b.Address) && !a.client.Withholder.IsWithheld(now, withholder.LifetimeOf(b)) {
+		if b.TakesCalls() && !slices.Contains(a.request.Avoid, b.Address) && !a.client.Withholder.IsWithheld(now, withholder.LifetimeOf(b)) {
 			return true
 		}
 	}
--- a/internal/route/allocator/admission.go
+++ b/internal/route/allocator/admission.go
@@ -74,17 +74,17 @@
 }
 
 // serviceSlotRatio returns the number of slots of all servers of s divided by
-// the number of slots of members, the servers of one pool. Leaving servers do
-// not count. A server without a number of slots of its own counts as one slot.
+// the number of slots of members, the servers of one pool. Servers that
+// take no calls do not count. A server without a number of slots of its own counts as one slot.
 func serviceSlotRatio(s *router.Service, members []router.BackendServer) float64 {
 	own, all := 0, 0
 	for i := range members {
-		if !members[i].Leaving {
+		if members[i].TakesCalls() {
 			own += max(members[i].Slots, 1)
 		}
 	}
 	for i := range s.Servers {
-		if !s.Servers[i].Leaving {
+		if s.Servers[i].TakesCalls() {
 			all += max(s.Servers[i].Slots, 1)
 		}
 	}
--- a/internal/route/allocator/dispatch.go
+++ b/internal/route/allocator/dispatch.go
@@ -132,7 +132,7 @@
 func (p *Pool) avoidsUsable(now time.Time, avoid []netip.AddrPort) bool {
 	return slices.ContainsFunc(avoid, func(addr netip.AddrPort) bool {
 		s := p.servers.FindServer(addr)
-		return s != nil && s.State(now) != tracker.Leaving
+		return s != nil && s.State(now) != tracker.Leaving && s.State(now) != tracker.Evacuated
 	})
 }
 
--- a/internal/route/allocator/pool.go
+++ b/internal/route/allocator/pool.go
@@ -120,6 +120,7 @@
 		s.ProcessStart = member.ProcessStart
 		p.servers.SetServerSlots(now, s, member.Slots)
 		p.servers.SetLeaving(now, s, member.Leaving)
+		p.servers.SetEvacuated(s, member.Evacuated)
 		p.recallUnfit(now, s)
 	}
 	for _, s := range slices.Clone(p.servers.Servers()) {
@@ -202,10 +203,10 @@
 }
 
 // hasUsableServer reports whether a server outside avoid can get calls, now or
-// later: one that is neither leaving nor draining.
+// later: one that is neither leaving nor evacuated nor draining.
 func (p *Pool) hasUsableServer(now time.Time, avoid []netip.AddrPort) bool {
 	for _, s := range p.servers.Servers() {
-		if st := s.State(now); st != tracker.Leaving && st != tracker.Draining && !slices.Contains(avoid, s.Address) {
+		if st := s.State(now); st != tracker.Leaving && st != tracker.Evacuated && st != tracker.Draining && !slices.Contains(avoid, s.Address) {
 			return true
 		}
 	}
--- a/internal/route/router/table.go
+++ b/internal/route/router/table.go
@@ -17,10 +17,14 @@
 	Zone         string
 	Region       string
 	Leaving      bool
+	Evacuated    bool   // Its availability zone is evacuated; it must get no requests.
 	ProcessStart uint64 // Start of the server process in a unit of the platform; 0 when unknown.
 	Slots        int    // Slots of this server; 0 means the number configured for the service.
 }
 
+// TakesCalls reports whether new calls may go to the server, as far as the platform says.
+func (b *BackendServer) TakesCalls() bool { return !b.Leaving && !b.Evacuated }
+
 // Service is the configuration of a service with its backend servers.
 type Service struct {
 	*parser.Service
@@ -34,6 +38,7 @@
 	ServicesByHost map[string]*Service // By the value of the Host header.
 	RulesByHost    map[string][]*Rule  // By the value of the Host header, the longest path first.
 	Limits         parser.Limits
+	EvacuatedZones []string // Availability zones whose servers must get no requests, sorted.
 }
 
 // NewRoutingTable joins bundle b and list l, either of which may be nil.
@@ -54,6 +59,7 @@
 	if l == nil {
 		return t
 	}
+	t.EvacuatedZones = l.Evacuated
 	for i := range l.Entries {
 		t.addServer(&l.Entries[i])
 	}
@@ -83,6 +89,7 @@
 	}
 	s.Servers = append(s.Servers, BackendServer{
 		Name: e.Name, Address: e.Address, Zone: e.Zone, Region: e.Region, Leaving: e.Leaving, ProcessStart: e.ProcessStart, Slots: e.Slots,
+		Evacuated: slices.Contains(t.EvacuatedZones, e.Zone),
 	})
 }
 
--- a/internal/route/tracker/pool.go
+++ b/internal/route/tracker/pool.go
@@ -65,6 +65,9 @@
 	p.note(now, s, "platform list", before.String(), s.State(now).String())
 }
 
+// SetEvacuated records whether the availability zone of the server is evacuated.
+func (p *Pool) SetEvacuated(s *Server, evacuated bool) { s.evacuated = evacuated }
+
 // SetDefaultSlots changes the slots of the servers that have no number of their
 // own. A limit equal to the old number becomes the new number; a limit above the
 // new number is lowered to it.
--- a/internal/route/tracker/server.go
+++ b/internal/route/tracker/server.go
@@ -12,16 +12,17 @@
 
 // The states of a backend server.
 const (
-	Ready    State = iota
-	Ejected        // Too many calls failed; the trial delay has not passed.
-	Trial          // Ejected, and the trial delay has passed: one call may run.
-	Draining       // The server asked for no new calls.
-	Leaving        // The platform's list shows the server as leaving.
+	Ready     State = iota
+	Ejected         // Too many calls failed; the trial delay has not passed.
+	Trial           // Ejected, and the trial delay has passed: one call may run.
+	Draining        // The server asked for no new calls.
+	Leaving         // The platform's list shows the server as leaving.
+	Evacuated       // The availability zone of the server is evacuated.
 )
 
 // String returns the name of the state in the status output and the audit trail.
 func (s State) String() string {
-	return [...]string{"ready", "ejected", "trial", "draining", "leaving"}[s]
+	return [...]string{"ready", "ejected", "trial", "draining", "leaving", "evacuated"}[s]
 }
 
 // Result is the outcome of one call, as far as it tells something about the backend server.
@@ -56,6 +57,7 @@
 	cold          bool // Set while the limit rises from 1, until it reaches the slots or a call is refused.
 	successStreak int  // Successes since the last failure or change of the limit.
 	leaving       bool
+	evacuated     bool
 
 	latency   float64 // EWMA in nanoseconds; 0 when unknown.
 	latencyAt time.Time
@@ -94,6 +96,8 @@
 	switch {
 	case s.leaving:
 		return Leaving
+	case s.evacuated:
+		return Evacuated
 	case !s.drainedAt.IsZero():
 		return Draining
 	case s.ejected && now.Sub(s.ejectedAt) < s.trialDelay:
@@ -105,7 +109,7 @@
 }
 
 // FreeSlots returns the number of calls that may be granted to the server now.
-// It is at most 1 in state Trial, and 0 in states Ejected, Draining and Leaving.
+// It is at most 1 in state Trial, and 0 in all other states but Ready.
 func (s *Server) FreeSlots(now time.Time) int {
 	switch s.State(now) {
 	case Ready:
--- a/internal/route/withholder/withholder.go
+++ b/internal/route/withholder/withholder.go
@@ -64,6 +64,8 @@
 	servers map[Lifetime]*serverState
 	changed chan struct{} // Closed and replaced at each change.
 
+	evacuations atomic.Pointer[[]Evacuation] // Evacuated availability zones; see SetEvacuatedZones.
+
 	leavingCount atomic.Uint64 // Number of lifetimes that became known to be leaving.
 }
 
@@ -85,8 +87,10 @@
 	maxServers = 1 << 12
 )
 
-// HasStatements reports whether any statement is known.
-func (w *Withholder) HasStatements() bool { return w != nil && w.count.Load() > 0 }
+// HasStatements reports whether any statement or evacuation is known.
+func (w *Withholder) HasStatements() bool {
+	return w != nil && (w.count.Load() > 0 || len(w.Evacuations()) > 0)
+}
 
 // IsWithheld reports whether no call and no probe may start at l now.
 func (w *Withholder) IsWithheld(now time.Time, l Lifetime) bool {
