Keep evacuations when the store comes back from a copy without them

A record that the copy of a restored store lacks was dropped 2.2 s after the restore unless its writer wrote it again. Backend servers do; an operator does not write an order twice, so an evacuation ended although nobody lifted it.

Orders that the copy lacks now stay until a deletion that is later than the restore, and travel to instances that follow. An order that the copy has is in force even if its deletion was known before, as the operator finds it there.

--- a/internal/platform/watcher/evacuations.go
+++ b/internal/platform/watcher/evacuations.go
@@ -23,3 +23,15 @@
 	w.evacuations = current
 	return slices.Compact(slices.Sorted(maps.Values(current)))
 }
+
+// isOrder reports whether r is an order of the operator, malformed ones included: they do
+// not end the order that they replace.
+func (w *Watcher) isOrder(r Record) bool {
+	zone, err := w.Decoder.DecodeEvacuation(r)
+	return zone != "" || err != nil
+}
+
+func (t *Table) isOrder(r Record) bool { return t.IsOrder != nil && t.IsOrder(r) }
+
+// isKeptOrder reports whether r is an order that a restored store lacks.
+func (t *Table) isKeptOrder(r Record) bool { return r.OutlivesCopy && !r.Deleted && t.isOrder(r) }
--- a/internal/platform/watcher/restore.go
+++ b/internal/platform/watcher/restore.go
@@ -12,7 +12,11 @@
 //
 //   - a state that its writer counts as later than that of the copy, or a deletion of the
 //     state in the copy, until the record is written again;
-//   - a record that the copy lacks, for HoldTime or until it is written again.
+//   - a record that the copy lacks, for HoldTime or until it is written again;
+//   - an order that the copy lacks, until a deletion that is later than the restore.
+//
+// An order that the copy has is in force although its deletion was known before: the
+// operator finds it in the store and can delete it again.
 func (t *Table) startEpoch(now time.Time, b Batch) []Record {
 	known, held := t.records, t.heldDeletions
 	t.records, t.heldDeletions, t.changeLog = make(map[string]*tableEntry), make(map[string]heldDeletion), nil
@@ -28,6 +32,8 @@
 		delete(known, r.Key)
 		if t.mergeCopied(r, e) {
 			changed = append(changed, r)
+		} else if !r.Deleted && t.isOrder(r) {
+			continue
 		} else if _, ok := held[r.Key]; ok && !e.missingInCopy || r.Deleted && e != nil && !e.Deleted {
 			d := heldDeletion{Record{Key: r.Key, Revision: r.Revision, Deleted: true, OutlivesCopy: true}, unboundRevision}
 			if r.Revision > b.Revision {
@@ -41,6 +47,11 @@
 			t.storeRecord(Record{Key: key, Deleted: true}).lastValue = e.lastValue // The next copy may have it.
 			continue
 		}
+		if t.isOrder(e.Record) {
+			// Any deletion or change in this epoch is later than revision 0.
+			t.storeRecord(Record{Key: key, Value: e.Value, OutlivesCopy: true})
+			continue
+		}
 		t.storeRecord(Record{Key: key, Value: e.Value}).missingInCopy = true
 		t.heldDeletions[key] = heldDeletion{Record{Key: key, Deleted: true}, unboundRevision}
 	}
@@ -55,6 +66,9 @@
 	case e == nil:
 		t.storeRecord(r)
 		return !r.Deleted
+	case !r.Deleted && t.isOrder(r):
+		t.storeRecord(r)
+		return e.Deleted || !bytes.Equal(e.Value, r.Value)
 	case r.Deleted, t.compareStates(r, e) < 0, e.Deleted && t.compareStates(r, e) == 0:
 		kept := Record{Key: r.Key, Value: e.Value, Revision: r.Revision, Deleted: e.Deleted, OutlivesCopy: !r.Deleted || e.Deleted}
 		t.storeRecord(kept).lastValue = e.lastValue
--- a/internal/platform/watcher/table.go
+++ b/internal/platform/watcher/table.go
@@ -14,6 +14,9 @@
 type Table struct {
 	HoldTime time.Duration         // Time after an outage of the store for which deletions are held; 0 means 2.2s.
 	Compare  func(a, b Record) int // Decoder.CompareStates; nil means that all states are equal.
+	// IsOrder reports whether a record is an order of the operator, which ends only when its
+	// deletion is known, also if a restored store lacks it. nil means that none is.
+	IsOrder func(Record) bool
 
 	records        map[string]*tableEntry
 	changeLog      []*tableEntry           // Entries in the order of their sequence, including replaced ones.
@@ -124,7 +127,7 @@
 // wasDeleted reports whether r was deleted up to the known position. The table has all
 // records that exist there, also when it never had a tombstone for r.
 func (t *Table) wasDeleted(r Record) bool {
-	return !r.Deleted && r.Revision <= t.position.Revision && t.records[r.Key] == nil
+	return !r.Deleted && r.Revision <= t.position.Revision && t.records[r.Key] == nil && !t.isKeptOrder(r)
 }
 
 // applyBatch applies all records of b and returns those that changed.
@@ -167,7 +170,7 @@
 		listed[r.Key] = true
 	}
 	for key, e := range t.records {
-		if !listed[key] && !e.Deleted && e.Revision <= b.Revision {
+		if !listed[key] && !e.Deleted && e.Revision <= b.Revision && !t.isKeptOrder(e.Record) {
 			b.Records = append(b.Records, Record{Key: key, Revision: max(b.Revision, e.Revision+1), Deleted: true})
 		}
 	}
--- a/internal/platform/watcher/watcher.go
+++ b/internal/platform/watcher/watcher.go
@@ -233,7 +233,7 @@
 		}
 		w.changed, w.avoided = make(chan struct{}), make(map[string]avoidance)
 		w.decodedEntries, w.malformedKeys = make(map[string]decodedEntry), make(map[string]bool)
-		w.table.Compare = w.Decoder.CompareStates
+		w.table.Compare, w.table.IsOrder = w.Decoder.CompareStates, w.isOrder
 	}
 }
 
