Send no requests after a long pause before the records are confirmed

After a pause of 3 s or longer, requests and probes are now written only once the records are confirmed, or after 1 s by an instance that is cut off. A reader of the store shortens its first watch after a pause, as on taking over.

--- a/internal/call/sender/pool.go
+++ b/internal/call/sender/pool.go
@@ -93,6 +93,8 @@
 	requestID  string        // ID of a call that was not refused on the connection; may be empty.
 	zone       string        // Availability zone of the backend server.
 	withholder *withholder.Withholder
+	// awaitRecords is Sender.AwaitRecords.
+	awaitRecords func(ctx context.Context)
 }
 
 func (r *connRequest) isWithheld() bool {
@@ -104,6 +106,9 @@
 // as the backend server is withheld.
 func (p *connPool) acquireConn(ctx context.Context, transport *http.Transport, r connRequest) (*pooledConn, error) {
 	conn, err := p.awaitConn(ctx, transport, &r)
+	if err == nil && r.awaitRecords != nil {
+		r.awaitRecords(ctx)
+	}
 	if err == nil && (r.withholder.IsEvacuated(r.zone) || !r.withholder.TryStart(time.Now(), r.lifetime)) {
 		_ = conn.Close()
 		return nil, ErrWithheld
--- a/internal/call/sender/probe.go
+++ b/internal/call/sender/probe.go
@@ -19,7 +19,7 @@
 func (s *Sender) ProbeServer(ctx context.Context, server netip.AddrPort, lifetime withholder.Lifetime, path string, connections int) (translator.ResponseMetadata, error) {
 	pool := s.serverPool(server)
 	conn, err := pool.acquireConn(ctx, s.transport, connRequest{
-		lifetime: lifetime, maxIdle: maxIdleTime, limit: s.connectionLimit(connections), withholder: s.Withholder,
+		lifetime: lifetime, awaitRecords: s.AwaitRecords, maxIdle: maxIdleTime, limit: s.connectionLimit(connections), withholder: s.Withholder,
 	})
 	if err != nil {
 		return translator.ResponseMetadata{}, errors.Wrap(err, "probe")
--- a/internal/call/sender/sender.go
+++ b/internal/call/sender/sender.go
@@ -24,6 +24,9 @@
 	// Withholder receives what the responses state about their backend servers, and
 	// decides whether a call may be written. nil allows every call.
 	Withholder *withholder.Withholder
+	// AwaitRecords returns when what this instance knows of backend servers may be used, or
+	// when ctx is done. It is called before each request is written; nil returns at once.
+	AwaitRecords func(ctx context.Context)
 
 	mu             sync.Mutex
 	pools          map[netip.AddrPort]*connPool
@@ -121,7 +124,7 @@
 func (s *Sender) runExchange(ctx context.Context, x *exchange) (*http.Response, error) {
 	a, pool := x.attempt, x.pool
 	conn, err := pool.acquireConn(ctx, s.transport, connRequest{
-		lifetime: a.Lifetime, zone: a.Zone, maxIdle: x.maxIdle, limit: s.connectionLimit(a.Call.Service.Connections), withholder: s.Withholder, requestID: a.Call.RequestID,
+		lifetime: a.Lifetime, zone: a.Zone, awaitRecords: s.AwaitRecords, maxIdle: x.maxIdle, limit: s.connectionLimit(a.Call.Service.Connections), withholder: s.Withholder, requestID: a.Call.RequestID,
 	})
 	switch {
 	case errors.Is(err, ErrWithheld):
--- a/internal/instance/runner/adapters.go
+++ b/internal/instance/runner/adapters.go
@@ -147,6 +147,7 @@
 // dropStaleData discards the data about other instances and backend servers that
 // became outdated during a pause of the process.
 func (c *components) dropStaleData(pause time.Duration) {
+	c.resumeGate.RecordPause(time.Now(), pause)
 	c.audit.RecordChange(auditor.Change{
 		Component: "instance", Subject: c.settings.Name, Cause: "process was paused for " + pause.String(), Before: "figures in use", After: "figures dropped",
 	})
--- a/internal/instance/runner/components.go
+++ b/internal/instance/runner/components.go
@@ -46,6 +46,7 @@
 	audit          auditor.Trail
 	bundleStore    keeper.BundleStore
 	pauseDetector  detector.PauseDetector
+	resumeGate     detector.ResumeGate // Used with a PlatformAdapter.
 	listFollower   reader.ListFollower
 	configFollower reader.ConfigFollower
 	recordWatcher  watcher.Watcher // Used with a PlatformAdapter instead of listFollower and configFollower.
@@ -154,6 +155,8 @@
 		c.handler.responder.Dialect, c.handler.sender.Dialect = c.platform.Dialect, c.platform.Dialect
 		c.handler.retrier.Limit = c.retryLimit
 		c.handler.confirmedAt = c.recordWatcher.PublishedAt
+		c.resumeGate = detector.ResumeGate{CheckPause: c.pauseDetector.CheckPause, ConfirmedAt: c.recordWatcher.PublishedAt}
+		c.handler.sender.AwaitRecords = c.resumeGate.Await
 		return
 	}
 	c.handler.confirmedAt = c.configFollower.LastRead
--- a/internal/platform/watcher/source_reader.go
+++ b/internal/platform/watcher/source_reader.go
@@ -10,6 +10,7 @@
 	"sardinelever.example/sardinelever/internal/fleet/registrar"
 	"sardinelever.example/sardinelever/internal/flow/recoverer"
 	"sardinelever.example/sardinelever/internal/flow/sleeper"
+	"sardinelever.example/sardinelever/internal/instance/detector"
 )
 
 // sourceReader reads the records from one source at a time: the store or another
@@ -64,6 +65,8 @@
 		}
 		r.watching = true
 		r.recordMessage(r.watchStore(ctx, timeout))
+		// After a pause of the process, the next watch confirms the records at once.
+		r.watching = detector.Elapsed(now, time.Now()) <= 2*(timeout+watchResponseMargin)
 	case source != nil:
 		r.watching = false
 		r.followMember(ctx, *source)
