--- a/internal/instance/runner/adapters.go
+++ b/internal/instance/runner/adapters.go
@@ -123,6 +123,10 @@
 	if service == nil || server == nil {
 		return
 	}
+	if o.withholder.IsEvacuated(server.Zone) {
+		o.allocator.RecordProbe(o.service, o.server, tracker.ProbeResult{Unsent: true})
+		return
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), onDemandProbeTimeout)
 	defer cancel()
 	start := time.Now()
@@ -150,6 +154,7 @@
 // dropStaleData discards the data about other instances and backend servers that
 // became outdated during a pause of the process.
 func (c *components) dropStaleData(pause time.Duration) {
+	c.resumeGate.RecordPause(time.Now(), pause)
 	c.audit.RecordChange(auditor.Change{
 		Component: "instance", Subject: c.settings.Name, Cause: "process was paused for " + pause.String(), Before: "figures in use", After: "figures dropped",
 	})
--- a/internal/instance/runner/components.go
+++ b/internal/instance/runner/components.go
@@ -48,6 +48,7 @@
 	audit          auditor.Trail
 	bundleStore    keeper.BundleStore
 	pauseDetector  detector.PauseDetector
+	resumeGate     detector.ResumeGate // Used with a PlatformAdapter.
 	listFollower   reader.ListFollower
 	configFollower reader.ConfigFollower
 	recordWatcher  watcher.Watcher // Used with a PlatformAdapter instead of listFollower and configFollower.
@@ -73,6 +74,7 @@
 	c.withholder.Log = l
 	meter.RegisterPausedServers(c.metricsRegistry, c.pausedServers)
 	meter.RegisterColdServers(c.metricsRegistry, c.allocator.ColdServers, c.allocator.ColdWithheld)
+	meter.RegisterEvacuation(c.metricsRegistry, c.evacuatedServers, c.evacuatedCalls)
 	c.pauseDetector.OnPause = c.dropStaleData
 	c.initPlatform()
 	c.initFleet()
@@ -157,6 +159,8 @@
 		c.handler.responder.Dialect, c.handler.sender.Dialect = c.platform.Dialect, c.platform.Dialect
 		c.handler.retrier.Limit = c.retryLimit
 		c.handler.confirmedAt = c.recordWatcher.PublishedAt
+		c.resumeGate = detector.ResumeGate{CheckPause: c.pauseDetector.CheckPause, ConfirmedAt: c.recordWatcher.PublishedAt}
+		c.handler.sender.AwaitRecords = c.resumeGate.Await
 		return
 	}
 	c.handler.confirmedAt = c.configFollower.LastRead
@@ -264,6 +268,7 @@
 	c.coldSchedule.Mark(time.Now(), table)
 	c.routingTable.Store(table)
 	c.applyCollect(table)
+	c.withholder.SetEvacuatedZones(time.Now(), table.EvacuatedZones) // After Store, so that those who wait see the new pools.
 	servers := make(map[netip.AddrPort]bool)
 	for _, s := range table.Services {
 		for i := range s.Servers {
