Hedge late reads within the fleet's limit of retries

Callers of dss saw 5 to 7 in 100 reads late in calm periods: 3 in 100 runs take 7 times their work, and machines that slow down keep the calls that they already have. No second attempt overlapped the first where the fleet has one limit of retries.

With the setting [retry] hedge, a repeatable call without a body is hedged once, when its attempt has outlasted what its route takes and a second attempt can still meet the target. Hedges use a share of the bucket of the service and leave a reserve for retries. The home grants a hedge a slot that is free now or refuses it; Ask.hedge carries this. A refused hedge returns its token and the first attempt goes on. The server error of a hedge is only a fallback. Without the setting nothing changes.

--- a/internal/call/retrier/bucket.go
+++ b/internal/call/retrier/bucket.go
@@ -21,6 +21,7 @@
 type Limit struct {
 	Share    float64 // Tokens that each call adds; an extra attempt takes one token.
 	Capacity float64 // Largest number of tokens in the bucket, which is full at the start.
+	Hedge    float64 // Share of the tokens and of the capacity that hedges may use; 0 means that calls are not hedged.
 }
 
 // bucket is a token bucket that is refilled by calls instead of by time. It
@@ -57,6 +58,9 @@
 	reruns          bucket // For attempts by which a call may run twice: retries of unknown attempts, and hedges.
 	rejectedRetries bucket // For retries of rejected attempts, which did not run.
 	combined        bucket // Used for all extra attempts instead of the other two when a Limit is set.
+	hedges          bucket // The part of combined that hedges use.
+
+	work routeWorks
 }
 
 func newServiceState() *serviceState { return &serviceState{latencies: estimator.New()} }
@@ -69,6 +73,7 @@
 	s.rejectedRetries.refill(rejectedShare)
 	if l != nil {
 		s.combined.refill(l.Share)
+		s.hedges.refill(l.Share * l.Hedge)
 	}
 }
 
--- a/internal/call/retrier/doc.go
+++ b/internal/call/retrier/doc.go
@@ -8,8 +8,11 @@
 // An idempotent call without a body is also hedged: when the first attempt has
 // no answer after the 95th percentile of recent latencies, a second attempt
 // starts. The first answer is used and the other attempt is cancelled. The
-// hedge of a call that is not urgent starts after 1 s at the earliest, and with
-// a Limit such a call is not hedged.
+// hedge of a call that is not urgent starts after 1 s at the earliest.
+//
+// With a Limit, a call is hedged only if Limit.Hedge is set. The hedge then
+// starts when the first attempt has outlasted what its route takes (RouteWork),
+// and only while it can still answer before the target of the call.
 //
 // Two limits hold at the same time. Each service has token buckets that are
 // refilled by its calls, so that extra attempts stay a fixed share of its calls.
--- a/internal/call/retrier/retrier.go
+++ b/internal/call/retrier/retrier.go
@@ -29,11 +29,16 @@
 // allowed.
 type Call[T any] struct {
 	Service    string
+	Route      string    // Calls of one route take about the same time.
+	Target     time.Time // Time by which the caller prefers an answer; with a Limit, a call without it is not hedged.
 	Idempotent bool
 	Urgent     bool
 	Budget     int         // Extra attempts left for the call and all calls below it.
 	CanReplay  func() bool // Reports, before a retry, whether the body can be sent again.
 	Hedge      bool        // Allows a hedge. The call must have no body, because a body can be sent by one attempt at a time.
+	// OnHedge is called for the events of a hedge when there is a Limit; nil means that
+	// nothing is called.
+	OnHedge func(HedgeEvent)
 	// Try makes one attempt. A *sender.Failure means that the attempt failed; any
 	// other error means that no attempt could be made, and no retry follows.
 	Try func(ctx context.Context, a *Attempt) (T, error)
@@ -46,7 +51,24 @@
 type Attempt struct {
 	Number int // Starts at 1.
 	Budget int // Extra attempts that the call and all calls below this attempt may still use.
+	// Hedge is set for an attempt that overlaps another one. It must not wait for a
+	// slot, and its answer must not be a server error, so that it never makes a call
+	// fail that the other attempt answers.
+	Hedge  bool
 	used   *usedServers
+	onSent func(sentReport)
+
+	// Set by awaitAnswer after MarkSent.
+	sentAt   time.Time
+	slowdown float64
+}
+
+// MarkSent reports that the attempt is now sent to a backend server with the reported
+// slowdown, 0 when unknown.
+func (a *Attempt) MarkSent(slowdown float64) {
+	if a.onSent != nil {
+		a.onSent(sentReport{a, time.Now(), slowdown})
+	}
 }
 
 // UsedServers returns the backend servers that attempts of the call have used.
@@ -79,7 +101,7 @@
 	s := r.serviceState(c.Service)
 	limit := r.currentLimit()
 	s.refillBuckets(limit)
-	g := &attemptGroup[T]{call: c, service: s, limit: limit, results: make(chan result[T]), done: make(chan struct{})}
+	g := &attemptGroup[T]{call: c, service: s, limit: limit, results: make(chan result[T]), sent: make(chan sentReport), done: make(chan struct{})}
 	defer close(g.done)
 	start := time.Now()
 	v, err := g.awaitAnswer(ctx)
@@ -117,43 +139,53 @@
 	service       *serviceState
 	limit         *Limit
 	results       chan result[T]
-	done          chan struct{} // Closed when results are no longer received.
+	sent          chan sentReport
+	done          chan struct{} // Closed when results and sent are no longer received.
 	used          usedServers
 	lastNumber    int                  // Number of the attempt started last.
 	extraAttempts int                  // Attempts after the first; each has spent one unit of the budget.
 	cancels       []context.CancelFunc // cancels[i] cancels attempt i+1.
+	running       int                  // Attempts that have not ended.
+	primary       *Attempt             // Last attempt that was sent and is no hedge; only with a Limit.
+	hedged        bool                 // With a Limit, the call is hedged once.
 }
 
-// result is the result of attempt number.
+// result is the result of an attempt.
 type result[T any] struct {
-	number int
-	value  T
-	err    error
+	attempt *Attempt
+	value   T
+	err     error
 }
 
 // awaitAnswer starts the attempts and returns the first answer, or the error to
 // report when all failed.
 func (g *attemptGroup[T]) awaitAnswer(ctx context.Context) (zero T, err error) {
-	g.startAttempt(ctx)
+	g.startAttempt(ctx, false)
 	hedgeTimer := g.newHedgeTimer()
 	defer hedgeTimer.Stop()
-	for running := 1; running > 0; {
+	var last error // Error of the attempt that failed last.
+	for g.running > 0 {
 		select {
 		case <-hedgeTimer.C:
-			if g.acquireAttempt(&g.service.reruns) {
-				running++
-				g.startAttempt(ctx)
+			if g.acquireHedge() {
+				g.startAttempt(ctx, true)
 			}
+		case s := <-g.sent:
+			g.handleSent(s, hedgeTimer)
 		case res := <-g.results:
-			running--
+			g.running--
 			if res.err == nil {
-				g.cancelOthers(res.number)
+				g.recordAnswer(res.attempt)
+				g.cancelOthers(res.attempt.Number)
 				return res.value, nil
 			}
-			err = errorToReport(err, res.err)
-			if ctx.Err() == nil && g.acquireRetry(res.err) {
-				running++
-				g.startAttempt(ctx)
+			if g.isUnsentHedge(res.attempt) {
+				g.releaseHedge(res.attempt)
+			} else {
+				err, last = errorToReport(err, res.err), res.err
+			}
+			if ctx.Err() == nil && g.mayRetryNow(res.attempt, hedgeTimer) && g.acquireRetry(last) {
+				g.startAttempt(ctx, false)
 			}
 		}
 	}
@@ -164,18 +196,22 @@
 // is not hedged, the timer is stopped.
 func (g *attemptGroup[T]) newHedgeTimer() *time.Timer {
 	t := time.NewTimer(g.service.hedgeDelay(g.call.Urgent))
-	if !g.call.Hedge || !g.call.Idempotent || g.limit != nil && !g.call.Urgent {
-		t.Stop()
+	if !g.call.Hedge || !g.call.Idempotent || g.limit != nil {
+		t.Stop() // With a Limit, handleSent starts it.
 	}
 	return t
 }
 
 // startAttempt starts the next attempt in a goroutine of its own.
-func (g *attemptGroup[T]) startAttempt(ctx context.Context) {
+func (g *attemptGroup[T]) startAttempt(ctx context.Context, hedge bool) {
 	g.lastNumber++
+	g.running++
 	ctx, cancel := context.WithCancel(ctx)
 	g.cancels = append(g.cancels, cancel)
 	a := &Attempt{Number: g.lastNumber, Budget: g.call.Budget - g.extraAttempts, used: &g.used}
+	if g.limit != nil {
+		a.Hedge, a.onSent = hedge, g.reportSent
+	}
 	go g.runAttempt(ctx, a)
 }
 
@@ -184,7 +220,7 @@
 func (g *attemptGroup[T]) runAttempt(ctx context.Context, a *Attempt) {
 	v, err := g.tryAttempt(ctx, a)
 	select {
-	case g.results <- result[T]{a.Number, v, err}:
+	case g.results <- result[T]{a, v, err}:
 	case <-g.done:
 		if err == nil {
 			g.call.Discard(v)
--- a/internal/config/parser/check.go
+++ b/internal/config/parser/check.go
@@ -135,6 +135,7 @@
 	checkRange(c, "capacity", s.Capacity, minCapacity, maxCapacity)
 	checkRange(c, "retry.ratio", s.Retry.Ratio, 0, 1)
 	checkRange(c, "retry.slack", s.Retry.Slack, 0, math.MaxInt)
+	checkRange(c, "retry.hedge", s.Retry.Hedge, 0, 1)
 	checkRange(c, "retry.window", s.Retry.Window, Duration(time.Second), Duration(time.Hour))
 	for i, seed := range s.Seeds {
 		if !seed.IsValid() || seed.Port() == 0 {
--- a/internal/config/parser/settings.go
+++ b/internal/config/parser/settings.go
@@ -39,6 +39,7 @@
 	Ratio  float64  `toml:"ratio,omitempty"`  // 0 means 0.20.
 	Slack  int      `toml:"slack,omitempty"`  // 0 means 10 for each instance.
 	Window Duration `toml:"window,omitempty"` // 0 means 10s; only checked, because the limit that instances apply holds for windows of any length.
+	Hedge  float64  `toml:"hedge,omitempty"`  // Share of the limit that hedges may use; 0 means that calls are not hedged.
 }
 
 // TLS names the files of certificate, key and CA certificates for the connections
--- a/internal/instance/runner/active_call.go
+++ b/internal/instance/runner/active_call.go
@@ -4,7 +4,7 @@
 	"context"
 	"net/http"
 	"net/netip"
-	"sync/atomic"
+	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -29,7 +29,10 @@
 	body       *retrier.Body
 	hedge      bool // Two attempts may run at the same time.
 	trace      callTrace
-	fallback   atomic.Pointer[serverResponse] // Last response with a server error; it is used if no later attempt succeeds.
+	fallback   fallbackHolder // Last response with a server error; it is used if no later attempt succeeds.
+
+	informationalMu sync.Mutex // Held while an informational response is written.
+	overlapped      bool       // Two attempts have run at the same time; no informational response is written any more.
 }
 
 // canReplay reports whether another attempt can send the same request. Trailers can
@@ -52,7 +55,7 @@
 // response that shouldRetryResponse rejects as the fallback and returns a failure.
 func (a *activeCall) sendToServer(ctx context.Context, attempt *retrier.Attempt) (*serverResponse, error) {
 	c := a.call
-	req := acquirer.Request{Service: c.Service.Name, Rank: c.Rank, Route: c.RouteName, Deadline: c.Deadline, Target: c.TargetTime, Avoid: attempt.UsedServers()}
+	req := acquirer.Request{Service: c.Service.Name, Rank: c.Rank, Route: c.RouteName, Deadline: c.Deadline, Target: c.TargetTime, Avoid: attempt.UsedServers(), Hedge: attempt.Hedge}
 	start := time.Now()
 	slot, err := a.slots.Acquire(ctx, req)
 	a.trace.addWait(time.Since(start))
@@ -77,9 +80,11 @@
 		RetryBudget: attempt.Budget, ForwardInformational: a.forwardInformational,
 		// Only the first attempt of a call that can be hedged may use a connection
 		// that has been idle for long and could be dead.
-		RequireFreshConn: attempt.Number > 1 || !a.hedge && a.retrier.Limit == nil, AllowResend: a.hedge,
+		RequireFreshConn: attempt.Number > 1 || !a.hedge && a.retrier.Limit == nil,
+		// A resend would not count against the limit of the fleet.
+		AllowResend: a.hedge && a.retrier.Limit == nil,
 	}
-	if a.hedge || !a.r.ProtoAtLeast(1, 1) {
+	if a.hedge && a.retrier.Limit == nil || !a.r.ProtoAtLeast(1, 1) {
 		// Two attempts must not write to the caller at the same time, and for HTTP/1.0
 		// the first response is the final one (RFC 9110 section 15.2).
 		outgoing.ForwardInformational = nil
@@ -87,6 +92,10 @@
 	if !a.hedge {
 		a.callerConn.PrepareAttempt()
 	}
+	if attempt.Hedge {
+		a.stopInformational()
+	}
+	attempt.MarkSent(slot.Slowdown)
 	resp, err := a.sender.Send(ctx, outgoing)
 	a.trace.addAttempt(attempt.Number, slot, name, time.Since(outgoing.SentAt), resp, err)
 	result := a.attemptResult(resp, err, time.Since(outgoing.SentAt))
@@ -97,8 +106,8 @@
 		}
 		slot.Release(result)
 		response.slot = nil
-		if previous := a.fallback.Swap(response); previous != nil {
-			previous.closeAndRelease()
+		if unused := a.fallback.replace(response); unused != nil {
+			unused.closeAndRelease()
 		}
 		return nil, &sender.Failure{Outcome: sender.Failed, Reason: "status", Err: errors.Errorf("backend server %s answered %d", name, resp.StatusCode)}
 	}
@@ -115,9 +124,10 @@
 
 // shouldRetryResponse reports whether the call should be retried although it has the
 // response resp. One backend server can fail calls that others serve, so a call that
-// matches a rule is retried after a server error.
+// matches a rule is retried after a server error. The server error of a hedge is not
+// the answer while the other attempt may still succeed.
 func (a *activeCall) shouldRetryResponse(attempt *retrier.Attempt, resp *http.Response) bool {
-	return a.call.Rule != nil && a.call.Idempotent && attempt.Budget > 0 && resp.StatusCode >= http.StatusInternalServerError && a.canReplay()
+	return a.call.Idempotent && (a.call.Rule != nil && attempt.Budget > 0 || attempt.Hedge) && resp.StatusCode >= http.StatusInternalServerError && a.canReplay()
 }
 
 // countAttempt counts an attempt that got a slot after wait.
@@ -133,10 +143,6 @@
 	a.metrics.SlotWaitSeconds.WithLabelValues(a.call.Service.Name, a.call.Rank.String()).Observe(wait.Seconds())
 }
 
-func (a *activeCall) forwardInformational(status int, h http.Header) {
-	responder.WriteInformational(a.w, status, h)
-}
-
 // serverResponse is the response of a backend server. The call occupies slot until the
 // body has been read; slot is nil when it was released before.
 type serverResponse struct {
--- a/internal/instance/runner/call_handler.go
+++ b/internal/instance/runner/call_handler.go
@@ -167,7 +167,7 @@
 	active := &activeCall{callHandler: h, callerConn: callerConn, w: w, r: r, call: c, deadline: deadline, body: body}
 	response, err := h.retrier.Do(ctx, h.newRetryCall(active))
 	callerConn.PrepareResponse()
-	if fallback := active.fallback.Load(); fallback != nil {
+	if fallback := active.fallback.take(); fallback != nil {
 		if err != nil {
 			response, err = fallback, nil
 		} else {
@@ -223,13 +223,18 @@
 }
 
 // newRetryCall describes the call for the retrier, and allows a hedge for an
-// idempotent call without a body.
+// idempotent call without a body, unless the retries of the fleet have one limit that
+// gives hedges no share.
 func (h *callHandler) newRetryCall(active *activeCall) *retrier.Call[*serverResponse] {
 	c := active.call
-	active.hedge = c.Idempotent && active.r.ContentLength == 0 && h.retrier.Limit == nil
+	active.hedge = c.Idempotent && active.r.ContentLength == 0 && (h.retrier.Limit == nil || h.retrier.Limit().Hedge > 0)
+	target := c.TargetTime
+	if target.After(c.Deadline) {
+		target = c.Deadline
+	}
 	return &retrier.Call[*serverResponse]{
-		Service: c.Service.Name, Idempotent: c.Idempotent, Urgent: c.Rank == parser.Urgent, Budget: c.RetryBudget,
-		CanReplay: active.canReplay, Hedge: active.hedge, Try: active.sendAttempt, Discard: (*serverResponse).closeAndRelease,
+		Service: c.Service.Name, Route: c.RouteName, Target: target, Idempotent: c.Idempotent, Urgent: c.Rank == parser.Urgent, Budget: c.RetryBudget,
+		CanReplay: active.canReplay, Hedge: active.hedge, OnHedge: active.recordHedge, Try: active.sendAttempt, Discard: (*serverResponse).closeAndRelease,
 	}
 }
 
--- a/internal/instance/runner/call_trace.go
+++ b/internal/instance/runner/call_trace.go
@@ -11,6 +11,7 @@
 	"github.com/pkg/errors"
 
 	"sardinelever.example/sardinelever/internal/call/classifier"
+	"sardinelever.example/sardinelever/internal/call/retrier"
 	"sardinelever.example/sardinelever/internal/call/sender"
 	"sardinelever.example/sardinelever/internal/route/acquirer"
 )
@@ -21,6 +22,13 @@
 	mu       sync.Mutex
 	wait     time.Duration // Sum of all waits for slots.
 	attempts []string
+	hedge    retrier.HedgeEvent // Last event of the hedge; empty when the call was not hedged.
+}
+
+func (t *callTrace) setHedge(e retrier.HedgeEvent) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.hedge = e
 }
 
 func (t *callTrace) addWait(wait time.Duration) {
@@ -69,5 +77,8 @@
 	if c.Rule != nil {
 		e = e.Str("rule", c.Rule.Name)
 	}
+	if t.hedge != "" {
+		e = e.Str("hedge", string(t.hedge))
+	}
 	e.Str("attempts", strings.Join(t.attempts, "; ")).Msg("call: ended")
 }
--- a/internal/operator/meter/metrics.go
+++ b/internal/operator/meter/metrics.go
@@ -13,6 +13,7 @@
 	Calls           *prometheus.CounterVec   // By service, rank and outcome.
 	CallSeconds     *prometheus.HistogramVec // Time from accepting a call to the end of the response, by service and rank.
 	Attempts        *prometheus.CounterVec   // Attempts that got a slot, by service and kind: first, or again for a retry or hedge.
+	Hedges          *prometheus.CounterVec   // Hedges within the retry limit of the fleet, by service and event: sent, won, denied or unfunded.
 	SlotWaitSeconds *prometheus.HistogramVec // Time that an attempt waited for a slot, by service and rank.
 	Refusals        *prometheus.CounterVec   // Requests that were refused before they had a service, by reason.
 	Pauses          *prometheus.CounterVec   // Pauses that backend servers asked for, by the kind of the response.
@@ -30,6 +31,9 @@
 		Attempts: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "sardinelever_attempts_total", Help: "Attempts that got a slot, by kind: first, or again for a retry or hedge.",
 		}, []string{"service", "kind"}),
+		Hedges: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "sardinelever_hedges_total", Help: "Hedges within the retry limit of the fleet, by event: sent, won (answered first), denied (no slot was free), unfunded (the limit was reached).",
+		}, []string{"service", "event"}),
 		SlotWaitSeconds: newSecondsHistogram("sardinelever_wait_seconds", "Time that an attempt waited for a slot."),
 		Refusals: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "sardinelever_refusals_total", Help: "Requests that were refused before they had a service, by reason.",
@@ -44,7 +48,7 @@
 	panics := prometheus.NewCounterFunc(prometheus.CounterOpts{
 		Name: "sardinelever_panics_total", Help: "Panics that ended one call, stream or message.",
 	}, func() float64 { return float64(recoverer.Count()) })
-	r.MustRegister(panics, m.Calls, m.CallSeconds, m.Attempts, m.SlotWaitSeconds, m.Refusals, m.Pauses, m.LeavingSigns,
+	r.MustRegister(panics, m.Calls, m.CallSeconds, m.Attempts, m.Hedges, m.SlotWaitSeconds, m.Refusals, m.Pauses, m.LeavingSigns,
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	return m
 }
--- a/internal/route/acquirer/acquisition.go
+++ b/internal/route/acquirer/acquisition.go
@@ -166,18 +166,20 @@
 
 // processReplies returns the slot when there is an offer, and the refusal when no
 // ask is open. Otherwise it returns neither: it repeats the asks whose streams
-// broke, and asks the other pools once a home has queued or refused an ask.
+// broke, and asks the other pools once a home has queued or refused an ask. A hedge
+// is not worth the traffic between zones, so it asks the first pool alone, and is
+// withdrawn if a home of an earlier version queues it.
 func (a *acquisition) processReplies() (*Slot, error) {
 	a.mu.Lock()
 	accepted := a.accepted
 	var interrupted []*poolAsk
-	open, replied := 0, false
+	open, replied, queued := 0, false, false
 	for _, p := range a.asks {
 		switch p.state {
 		case stateStreamBroken:
 			interrupted = append(interrupted, p)
 		case stateQueued, stateRefused:
-			replied = true
+			replied, queued = true, queued || p.state == stateQueued
 		}
 		if p.state <= stateQueued {
 			open++
@@ -187,10 +189,14 @@
 	if accepted != nil {
 		return a.accept(accepted), nil
 	}
+	if a.request.Hedge && queued {
+		a.closeAsks(nil)
+		return nil, &Refusal{Reason: allocator.ReasonFull, RetryAfter: hedgeRetryAfter}
+	}
 	for _, p := range interrupted {
 		a.askNextHome(p)
 	}
-	if replied && !a.othersAsked {
+	if replied && !a.othersAsked && !a.request.Hedge {
 		a.othersAsked = true
 		for _, p := range a.otherPools {
 			a.askPool(p)
@@ -203,6 +209,9 @@
 	return nil, nil
 }
 
+// hedgeRetryAfter is the RetryAfter of a hedge that was withdrawn. It is never repeated.
+const hedgeRetryAfter = time.Second
+
 // accept returns the offered slot of p and cancels the other asks. If the stream to
 // the home broke after the offer, it reports the slot to the next home.
 func (a *acquisition) accept(p *poolAsk) *Slot {
--- a/internal/route/acquirer/client.go
+++ b/internal/route/acquirer/client.go
@@ -26,6 +26,7 @@
 	Deadline time.Time
 	Target   time.Time        // Time after which a response loses value; zero means Deadline.
 	Avoid    []netip.AddrPort // Backend servers that earlier attempts of the call used; no slot of them is granted.
+	Hedge    bool             // The attempt overlaps another one: it gets a slot that is free now or a refusal.
 }
 
 // Result is the outcome of a call, which is reported to the homes that count its slot.
--- a/internal/route/acquirer/encoding.go
+++ b/internal/route/acquirer/encoding.go
@@ -21,7 +21,7 @@
 	req := &p.acquisition.request
 	m := &messenger.Ask{
 		Number: p.number, Pool: encodePool(p.pool.key), Rank: uint32(req.Rank), Left: int64(time.Until(req.Deadline)),
-		Target: int64(time.Until(req.Target)), Route: req.Route,
+		Target: int64(time.Until(req.Target)), Route: req.Route, Hedge: req.Hedge,
 	}
 	for _, addr := range req.Avoid {
 		b, _ := addr.MarshalBinary() // The error is always nil.
--- a/internal/route/acquirer/home.go
+++ b/internal/route/acquirer/home.go
@@ -40,7 +40,7 @@
 
 func (l *localHome) sendAsk(p *poolAsk) bool {
 	req := &p.acquisition.request
-	l.allocator.RequestSlot(p.pool.key, allocator.SlotRequest{ID: p.id(), Rank: req.Rank, Route: req.Route, Deadline: req.Deadline, Target: req.Target, Avoid: req.Avoid})
+	l.allocator.RequestSlot(p.pool.key, allocator.SlotRequest{ID: p.id(), Rank: req.Rank, Route: req.Route, Deadline: req.Deadline, Target: req.Target, Avoid: req.Avoid, Hedge: req.Hedge})
 	return true
 }
 
--- a/internal/route/allocator/dispatch.go
+++ b/internal/route/allocator/dispatch.go
@@ -18,6 +18,7 @@
 	for more && len(p.queued) > 0 {
 		more = p.hasAvailableServer(now) && p.grantNext(now)
 	}
+	p.dispatchHedges(now)
 	p.recallForQueued()
 }
 
@@ -118,16 +119,21 @@
 		p.removeQueued(qr.ID)
 		p.grantSlot(now, s, qr.SlotRequest)
 		p.updateCredits(r)
-		reply := Reply{Number: qr.Number, Kind: ReplyOffered, Server: s.Address, MayKeep: p.canKeepSlots(now)}
-		if slowdown, age, ok := s.Slowdown(now); ok {
-			reply.Slowdown, reply.SlowdownAge = slowdown, age
-		}
-		qr.Owner.ReceiveReply(reply)
+		p.offerSlot(now, qr, s)
 		return true
 	}
 	return false
 }
 
+// offerSlot tells the owner of qr that it was granted a slot of s.
+func (p *Pool) offerSlot(now time.Time, qr *queuedRequest, s *tracker.Server) {
+	reply := Reply{Number: qr.Number, Kind: ReplyOffered, Server: s.Address, MayKeep: p.canKeepSlots(now)}
+	if slowdown, age, ok := s.Slowdown(now); ok {
+		reply.Slowdown, reply.SlowdownAge = slowdown, age
+	}
+	qr.Owner.ReceiveReply(reply)
+}
+
 // avoidsUsable reports whether avoid has a server of the pool that other requests may use.
 func (p *Pool) avoidsUsable(now time.Time, avoid []netip.AddrPort) bool {
 	return slices.ContainsFunc(avoid, func(addr netip.AddrPort) bool {
--- a/internal/route/allocator/doc.go
+++ b/internal/route/allocator/doc.go
@@ -16,7 +16,8 @@
 //
 //   - Ask: requests a slot. Left is the time to the deadline of the call and
 //     Target the time to its target, by which the caller prefers an answer.
-//     Avoid lists backend servers that the call must not use.
+//     Avoid lists backend servers that the call must not use. Hedge says that
+//     the request must not be queued.
 //   - Cancel: withdraws the request, or returns its slot unused.
 //   - Done: returns the slot with the result of the call. With Keep set, the
 //     entry keeps the slot for its next call instead.
--- a/internal/route/allocator/pool.go
+++ b/internal/route/allocator/pool.go
@@ -34,6 +34,7 @@
 	routeWork       workEstimates
 	nearlyFull      nearlyFullEstimator
 	queued          map[ID]*list.Element
+	hedges          []*queuedRequest // Hedges that wait for the result of a probe.
 	grants          map[ID]*grant
 	keptCount       int       // Number of grants kept by entries between calls.
 	meanHoldTime    float64   // EWMA of the hold time of all calls, in nanoseconds.
@@ -161,6 +162,10 @@
 		p.refuseRequest(now, req, ReasonLate)
 		return
 	}
+	if req.Hedge {
+		p.requestHedge(now, req)
+		return
+	}
 	q := &p.queues[req.Rank]
 	if req.Target.IsZero() {
 		req.Target = req.Deadline
@@ -216,6 +221,7 @@
 // for it.
 func (p *Pool) CancelRequest(now time.Time, id ID) {
 	p.removeQueued(id)
+	p.removeHedges(func(other ID) bool { return other == id })
 	if p.endGrant(id, nil, now) {
 		p.dispatch(now)
 	}
@@ -245,6 +251,7 @@
 			p.removeQueued(id)
 		}
 	}
+	p.removeHedges(func(id ID) bool { return id.Owner == owner })
 	for id := range p.grants {
 		if id.Owner == owner {
 			p.endGrant(id, nil, now)
@@ -288,8 +295,8 @@
 	}
 }
 
-// QueuedCount returns the number of queued requests.
-func (p *Pool) QueuedCount() int { return len(p.queued) }
+// QueuedCount returns the number of queued requests and of hedges that wait for probes.
+func (p *Pool) QueuedCount() int { return len(p.queued) + len(p.hedges) }
 
 // GrantedCount returns the number of granted slots, kept ones included.
 func (p *Pool) GrantedCount() int { return len(p.grants) }
--- a/internal/route/allocator/request.go
+++ b/internal/route/allocator/request.go
@@ -36,6 +36,7 @@
 	Deadline time.Time
 	Target   time.Time        // Time by which the caller prefers an answer; zero means the deadline.
 	Avoid    []netip.AddrPort // Backend servers that the call must not use.
+	Hedge    bool             // The attempt overlaps another one of its call: it is refused unless a slot is free now.
 
 	assumedWork time.Duration // Work that is assumed while no call of the route or rank has ended.
 }
--- a/internal/route/allocator/session.go
+++ b/internal/route/allocator/session.go
@@ -113,7 +113,7 @@
 	}
 	s.allocator.RequestSlot(key, SlotRequest{
 		ID: ID{s, a.Number}, Rank: decodeRank(a.Rank), Route: a.Route, Deadline: now.Add(time.Duration(a.Left)),
-		Target: now.Add(time.Duration(a.Target)), Avoid: avoid,
+		Target: now.Add(time.Duration(a.Target)), Avoid: avoid, Hedge: a.Hedge,
 	})
 	return nil
 }
