Hold slots of silent calls, and retry them before their time limit

With the setting [retry] hedge, a call that takes well over the usual work of its route at the reported slowdown is silent. A silent call that has ended counts as held at its server until a load report shows that it is gone, a new process replaces the server, or 10 s pass. A server that answers no call while others of its pool do is ejected until a trial call is answered; one that is slow by its report or answers other calls is not. Repeatable calls without a body are retried within the budget while the retry can still be answered before the deadline; the first attempt goes on. Grant.silent and Done.silent carry this to the home. A cancelled call no longer ends an ejection.

--- a/internal/call/retrier/hedge.go
+++ b/internal/call/retrier/hedge.go
@@ -43,16 +43,34 @@
 	// shortestHedgeDelay keeps most calls of a very fast route from being hedged
 	// whenever the instance itself is slow for a moment.
 	shortestHedgeDelay = 5 * time.Millisecond
+
+	// A call without an answer counts as silent after silentFactor times the median of
+	// its route. Ordinary calls take less, and those that take several times their work
+	// are few and only have their slot counted as held until the next load report.
+	silentFactor = 2
+	// A silent call is retried after retryFactor times the median, when even the calls
+	// that take several times their work have mostly ended, or when the time left to
+	// the deadline is retryReserve times the median, if it has been silent for
+	// lateFactor times the median by then.
+	retryFactor  = 8
+	lateFactor   = 3
+	retryReserve = 2
 )
 
 // RouteWork holds the work of the recent calls of one route: their duration at a
 // backend server, divided by the slowdown that the server had reported. The zero
 // value is ready to use; it is not safe for concurrent use.
 type RouteWork struct {
+	WorkTimes
 	samples  [workSamples]time.Duration
 	recorded int // Number of calls recorded.
+}
+
+// WorkTimes summarizes the work of a route and decides by it. The zero value stands for a
+// route of which too few calls are known.
+type WorkTimes struct {
 	median   time.Duration
-	quantile time.Duration // hedgeQuantile of samples.
+	quantile time.Duration // hedgeQuantile of the calls.
 }
 
 // Record adds a call that took elapsed on a server with the reported slowdown. A call
@@ -69,9 +87,6 @@
 	w.median, w.quantile = sorted[len(sorted)/2], sorted[int(hedgeQuantile*float64(len(sorted)))]
 }
 
-// Median returns the median work of the route, or 0 while too few calls are known.
-func (w *RouteWork) Median() time.Duration { return w.median }
-
 // SentAttempt is an attempt that was sent to a backend server.
 type SentAttempt struct {
 	SentAt   time.Time
@@ -82,7 +97,7 @@
 // HedgeTime returns the time at which a is hedged if it has not answered. It returns
 // false when a hedge is unlikely to answer before the target, or the work of the route
 // is unknown.
-func (w *RouteWork) HedgeTime(a SentAttempt) (time.Time, bool) {
+func (w WorkTimes) HedgeTime(a SentAttempt) (time.Time, bool) {
 	slowdown := max(a.Slowdown, 1)
 	if w.median == 0 || a.Target.IsZero() {
 		return time.Time{}, false
@@ -99,6 +114,27 @@
 	return latest, !latest.Before(a.SentAt.Add(shortest))
 }
 
+// SilentAfter returns the time after which a call to a server with the given reported
+// slowdown counts as silent, or 0 if the work of the route is unknown.
+func (w WorkTimes) SilentAfter(slowdown float64) time.Duration {
+	return scale(w.median, silentFactor*max(slowdown, 1))
+}
+
+// RetryTime returns the time at which a is given up as silent, so that a retry can still
+// be answered before deadline. It returns false when the work of the route is unknown or
+// no such time is left.
+func (w WorkTimes) RetryTime(a SentAttempt, deadline time.Time) (time.Time, bool) {
+	if w.median == 0 {
+		return time.Time{}, false
+	}
+	usual := scale(w.median, max(a.Slowdown, 1))
+	at, latest := a.SentAt.Add(scale(usual, retryFactor)), deadline.Add(-scale(w.median, retryReserve))
+	if latest.Before(at) {
+		at = latest
+	}
+	return at, !at.Before(a.SentAt.Add(max(scale(usual, lateFactor), shortestHedgeDelay)))
+}
+
 func scale(d time.Duration, factor float64) time.Duration {
 	return time.Duration(float64(d) * factor)
 }
@@ -127,13 +163,13 @@
 	r.Record(elapsed, slowdown)
 }
 
-func (w *routeWorks) hedgeTime(route string, a SentAttempt) (time.Time, bool) {
+func (w *routeWorks) times(route string) WorkTimes {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if r := w.routes[route]; r != nil {
-		return r.HedgeTime(a)
+		return r.WorkTimes
 	}
-	return time.Time{}, false
+	return WorkTimes{}
 }
 
 // takeHedgeToken takes a token for a hedge from the combined bucket. The share
--- a/internal/call/retrier/hedge_test.go
+++ b/internal/call/retrier/hedge_test.go
@@ -99,7 +99,7 @@
 		work *= 7
 	}
 	l.mu.Unlock()
-	a.MarkSent(1)
+	a.MarkSent(1, nil)
 	select {
 	case <-time.After(work):
 		return a.Number, nil
@@ -152,7 +152,7 @@
 	if a.Hedge && h.hedgeErr == errNoSlot {
 		return 0, errNoSlot
 	}
-	a.MarkSent(0)
+	a.MarkSent(0, nil)
 	switch {
 	case a.Hedge:
 		return a.Number, h.hedgeErr
--- a/internal/call/retrier/hedged_group.go
+++ b/internal/call/retrier/hedged_group.go
@@ -7,32 +7,61 @@
 	attempt  *Attempt
 	at       time.Time
 	slowdown float64
+	onSilent func()
 }
 
 // reportSent delivers s to awaitAnswer before the result of the attempt.
 func (g *attemptGroup[T]) reportSent(s sentReport) {
+	if g.limit.Hedge > 0 {
+		work := g.service.work.times(g.call.Route)
+		s.attempt.silentAfter.Store(int64(work.SilentAfter(s.slowdown)))
+	}
 	select {
 	case g.sent <- s:
 	case <-g.done:
 	}
 }
 
-// handleSent records that an attempt was sent and starts the timer of its hedge.
-func (g *attemptGroup[T]) handleSent(s sentReport, hedgeTimer *time.Timer) {
-	s.attempt.sentAt, s.attempt.slowdown = s.at, s.slowdown
+// handleSent records that an attempt was sent and starts the timers of its hedge and of
+// its silence.
+func (g *attemptGroup[T]) handleSent(s sentReport) {
+	s.attempt.sentAt, s.attempt.slowdown, s.attempt.onSilent = s.at, s.slowdown, s.onSilent
 	if s.attempt.Hedge {
 		g.notifyHedge(HedgeSent)
 		return
 	}
 	g.primary = s.attempt
-	if g.hedged || !g.call.Hedge || !g.call.Idempotent || g.limit.Hedge <= 0 {
+	if g.limit.Hedge <= 0 {
 		return
 	}
-	if at, ok := g.service.work.hedgeTime(g.call.Route, SentAttempt{s.at, g.call.Target, s.slowdown}); ok {
-		hedgeTimer.Reset(at.Sub(s.at))
+	work := g.service.work.times(g.call.Route)
+	sent := SentAttempt{s.at, g.call.Target, s.slowdown}
+	if at, ok := work.HedgeTime(sent); ok && !g.hedged && g.mayOverlap() {
+		g.hedgeTimer.Reset(at.Sub(s.at))
+	}
+	if at, ok := work.RetryTime(sent, g.call.Deadline); ok {
+		g.silentTimer.Reset(at.Sub(s.at))
 	}
 }
 
+// mayOverlap reports whether two attempts of the call may run at the same time.
+func (g *attemptGroup[T]) mayOverlap() bool { return g.call.Hedge && g.call.Idempotent }
+
+// acquireSilentRetry gives up the primary attempt as silent, which goes on, and reports
+// whether a retry may follow; if so, it takes a token and one unit of the budget.
+func (g *attemptGroup[T]) acquireSilentRetry() bool {
+	if g.primary.onSilent != nil {
+		g.primary.onSilent()
+	}
+	return g.running == 1 && g.mayOverlap() && g.acquireAttempt(&g.service.reruns)
+}
+
+func newStoppedTimer() *time.Timer {
+	t := time.NewTimer(time.Hour)
+	t.Stop()
+	return t
+}
+
 // acquireHedge reports whether the call may be hedged now; if so, it takes a token and
 // one unit of the budget.
 func (g *attemptGroup[T]) acquireHedge() bool {
@@ -67,12 +96,13 @@
 
 // mayRetryNow reports whether a retry may follow the failure of a. With a Limit, an
 // attempt that still runs takes the place of a retry.
-func (g *attemptGroup[T]) mayRetryNow(a *Attempt, hedgeTimer *time.Timer) bool {
+func (g *attemptGroup[T]) mayRetryNow(a *Attempt) bool {
 	if g.limit == nil {
 		return true
 	}
-	if !a.Hedge {
-		hedgeTimer.Stop() // There is no attempt left that a hedge could overtake.
+	if a == g.primary {
+		g.hedgeTimer.Stop() // There is no attempt left that another could overtake.
+		g.silentTimer.Stop()
 	}
 	return g.running == 0
 }
@@ -80,15 +110,14 @@
 // recordAnswer records the work of the route after the answer of a. If a is a hedge,
 // the work of the attempt that it overtook is at least the time that has passed.
 func (g *attemptGroup[T]) recordAnswer(a *Attempt) {
-	if g.limit == nil || g.primary == nil {
+	if g.limit == nil || a.sentAt.IsZero() {
 		return
 	}
 	if a.Hedge {
 		g.notifyHedge(HedgeWon)
+		a = g.primary
 	}
-	if a.Hedge || a == g.primary {
-		g.service.work.record(g.call.Route, time.Since(g.primary.sentAt), g.primary.slowdown)
-	}
+	g.service.work.record(g.call.Route, time.Since(a.sentAt), a.slowdown)
 }
 
 func (g *attemptGroup[T]) notifyHedge(e HedgeEvent) {
--- a/internal/call/retrier/retrier.go
+++ b/internal/call/retrier/retrier.go
@@ -5,6 +5,7 @@
 	"net/netip"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -30,6 +31,7 @@
 type Call[T any] struct {
 	Service    string
 	Route      string    // Calls of one route take about the same time.
+	Deadline   time.Time // Time by which the call must have ended; with a Limit, a silent call without it is not retried.
 	Target     time.Time // Time by which the caller prefers an answer; with a Limit, a call without it is not hedged.
 	Idempotent bool
 	Urgent     bool
@@ -51,26 +53,38 @@
 type Attempt struct {
 	Number int // Starts at 1.
 	Budget int // Extra attempts that the call and all calls below this attempt may still use.
-	// Hedge is set for an attempt that overlaps another one. It must not wait for a
-	// slot, and its answer must not be a server error, so that it never makes a call
-	// fail that the other attempt answers.
-	Hedge  bool
-	used   *usedServers
-	onSent func(sentReport)
+	// Overlaps is set for an attempt that starts while another one runs. Its answer must
+	// not be a server error, so that it never makes a call fail that the other attempt
+	// answers.
+	Overlaps bool
+	Hedge    bool // Set for an attempt that must not wait for a slot; Overlaps is set too.
+	used     *usedServers
+	onSent   func(sentReport)
+
+	silentAfter atomic.Int64 // Nanoseconds; 0 when unknown.
 
 	// Set by awaitAnswer after MarkSent.
 	sentAt   time.Time
 	slowdown float64
+	onSilent func()
 }
 
 // MarkSent reports that the attempt is now sent to a backend server with the reported
-// slowdown, 0 when unknown.
-func (a *Attempt) MarkSent(slowdown float64) {
+// slowdown, 0 when unknown. onSilent is called if the attempt is given up as silent
+// although it goes on; it may be nil.
+func (a *Attempt) MarkSent(slowdown float64, onSilent func()) {
 	if a.onSent != nil {
-		a.onSent(sentReport{a, time.Now(), slowdown})
+		a.onSent(sentReport{a, time.Now(), slowdown, onSilent})
 	}
 }
 
+// IsSilent reports whether an attempt that got no answer for elapsed counts as silent: it
+// should have been answered long before.
+func (a *Attempt) IsSilent(elapsed time.Duration) bool {
+	after := time.Duration(a.silentAfter.Load())
+	return after > 0 && elapsed >= after
+}
+
 // UsedServers returns the backend servers that attempts of the call have used.
 func (a *Attempt) UsedServers() []netip.AddrPort {
 	a.used.mu.Lock()
@@ -148,6 +162,8 @@
 	running       int                  // Attempts that have not ended.
 	primary       *Attempt             // Last attempt that was sent and is no hedge; only with a Limit.
 	hedged        bool                 // With a Limit, the call is hedged once.
+	hedgeTimer    *time.Timer
+	silentTimer   *time.Timer
 }
 
 // result is the result of an attempt.
@@ -163,6 +179,8 @@
 	g.startAttempt(ctx, false)
 	hedgeTimer := g.newHedgeTimer()
 	defer hedgeTimer.Stop()
+	g.hedgeTimer, g.silentTimer = hedgeTimer, newStoppedTimer()
+	defer g.silentTimer.Stop()
 	var last error // Error of the attempt that failed last.
 	for g.running > 0 {
 		select {
@@ -171,7 +189,11 @@
 				g.startAttempt(ctx, true)
 			}
 		case s := <-g.sent:
-			g.handleSent(s, hedgeTimer)
+			g.handleSent(s)
+		case <-g.silentTimer.C:
+			if g.acquireSilentRetry() {
+				g.startAttempt(ctx, false)
+			}
 		case res := <-g.results:
 			g.running--
 			if res.err == nil {
@@ -184,7 +206,7 @@
 			} else {
 				err, last = errorToReport(err, res.err), res.err
 			}
-			if ctx.Err() == nil && g.mayRetryNow(res.attempt, hedgeTimer) && g.acquireRetry(last) {
+			if ctx.Err() == nil && g.mayRetryNow(res.attempt) && g.acquireRetry(last) {
 				g.startAttempt(ctx, false)
 			}
 		}
@@ -210,7 +232,7 @@
 	g.cancels = append(g.cancels, cancel)
 	a := &Attempt{Number: g.lastNumber, Budget: g.call.Budget - g.extraAttempts, used: &g.used}
 	if g.limit != nil {
-		a.Hedge, a.onSent = hedge, g.reportSent
+		a.Hedge, a.Overlaps, a.onSent = hedge, g.running > 1, g.reportSent
 	}
 	go g.runAttempt(ctx, a)
 }
--- a/internal/instance/runner/active_call.go
+++ b/internal/instance/runner/active_call.go
@@ -92,13 +92,14 @@
 	if !a.hedge {
 		a.callerConn.PrepareAttempt()
 	}
-	if attempt.Hedge {
+	if attempt.Overlaps {
 		a.stopInformational()
 	}
-	attempt.MarkSent(slot.Slowdown)
+	attempt.MarkSent(slot.Slowdown, func() { a.reportSilent(slot) })
 	resp, err := a.sender.Send(ctx, outgoing)
 	a.trace.addAttempt(attempt.Number, slot, name, time.Since(outgoing.SentAt), resp, err)
 	result := a.attemptResult(resp, err, time.Since(outgoing.SentAt))
+	result.Silent = isUnknown(err) && resp == nil && attempt.IsSilent(result.Latency)
 	if err == nil {
 		response := &serverResponse{resp: resp, slot: slot, result: result}
 		if !a.shouldRetryResponse(attempt, resp) {
@@ -124,10 +125,10 @@
 
 // shouldRetryResponse reports whether the call should be retried although it has the
 // response resp. One backend server can fail calls that others serve, so a call that
-// matches a rule is retried after a server error. The server error of a hedge is not
-// the answer while the other attempt may still succeed.
+// matches a rule is retried after a server error. The server error of an attempt that
+// overlaps another one is not the answer while that may still succeed.
 func (a *activeCall) shouldRetryResponse(attempt *retrier.Attempt, resp *http.Response) bool {
-	return a.call.Idempotent && (a.call.Rule != nil && attempt.Budget > 0 || attempt.Hedge) && resp.StatusCode >= http.StatusInternalServerError && a.canReplay()
+	return a.call.Idempotent && (a.call.Rule != nil && attempt.Budget > 0 || attempt.Overlaps) && resp.StatusCode >= http.StatusInternalServerError && a.canReplay()
 }
 
 // countAttempt counts an attempt that got a slot after wait.
--- a/internal/instance/runner/call_handler.go
+++ b/internal/instance/runner/call_handler.go
@@ -233,7 +233,7 @@
 		target = c.Deadline
 	}
 	return &retrier.Call[*serverResponse]{
-		Service: c.Service.Name, Route: c.RouteName, Target: target, Idempotent: c.Idempotent, Urgent: c.Rank == parser.Urgent, Budget: c.RetryBudget,
+		Service: c.Service.Name, Route: c.RouteName, Target: target, Deadline: c.Deadline, Idempotent: c.Idempotent, Urgent: c.Rank == parser.Urgent, Budget: c.RetryBudget,
 		CanReplay: active.canReplay, Hedge: active.hedge, OnHedge: active.recordHedge, Try: active.sendAttempt, Discard: (*serverResponse).closeAndRelease,
 	}
 }
--- a/internal/instance/runner/hedged_call.go
+++ b/internal/instance/runner/hedged_call.go
@@ -4,8 +4,12 @@
 	"net/http"
 	"sync"
 
+	"github.com/pkg/errors"
+
 	"sardinelever.example/sardinelever/internal/call/responder"
 	"sardinelever.example/sardinelever/internal/call/retrier"
+	"sardinelever.example/sardinelever/internal/call/sender"
+	"sardinelever.example/sardinelever/internal/route/acquirer"
 )
 
 // recordHedge counts an event of the hedge of the call and adds it to the log line.
@@ -16,6 +20,20 @@
 	}
 }
 
+// reportSilent tells the home of slot that the call on it is silent.
+func (a *activeCall) reportSilent(slot *acquirer.Slot) {
+	slot.ReportSilent()
+	if a.metrics != nil {
+		a.metrics.SilentCalls.WithLabelValues(a.call.Service.Name).Inc()
+	}
+}
+
+// isUnknown reports whether err says that a backend server may have run the call.
+func isUnknown(err error) bool {
+	var f *sender.Failure
+	return errors.As(err, &f) && f.Outcome == sender.Unknown
+}
+
 // forwardInformational writes an informational response to the caller. Once two attempts
 // run at the same time, those of one could mix with the final response of the other.
 func (a *activeCall) forwardInformational(status int, h http.Header) {
--- a/internal/operator/meter/metrics.go
+++ b/internal/operator/meter/metrics.go
@@ -14,6 +14,7 @@
 	CallSeconds     *prometheus.HistogramVec // Time from accepting a call to the end of the response, by service and rank.
 	Attempts        *prometheus.CounterVec   // Attempts that got a slot, by service and kind: first, or again for a retry or hedge.
 	Hedges          *prometheus.CounterVec   // Hedges within the retry limit of the fleet, by service and event: sent, won, denied or unfunded.
+	SilentCalls     *prometheus.CounterVec   // Attempts that were given up as silent, by service.
 	SlotWaitSeconds *prometheus.HistogramVec // Time that an attempt waited for a slot, by service and rank.
 	Refusals        *prometheus.CounterVec   // Requests that were refused before they had a service, by reason.
 	Pauses          *prometheus.CounterVec   // Pauses that backend servers asked for, by the kind of the response.
@@ -34,6 +35,9 @@
 		Hedges: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "sardinelever_hedges_total", Help: "Hedges within the retry limit of the fleet, by event: sent, won (answered first), denied (no slot was free), unfunded (the limit was reached).",
 		}, []string{"service", "event"}),
+		SilentCalls: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "sardinelever_silent_calls_total", Help: "Attempts without an answer for much longer than their route takes, with setting retry.hedge.",
+		}, []string{"service"}),
 		SlotWaitSeconds: newSecondsHistogram("sardinelever_wait_seconds", "Time that an attempt waited for a slot."),
 		Refusals: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "sardinelever_refusals_total", Help: "Requests that were refused before they had a service, by reason.",
@@ -48,7 +52,7 @@
 	panics := prometheus.NewCounterFunc(prometheus.CounterOpts{
 		Name: "sardinelever_panics_total", Help: "Panics that ended one call, stream or message.",
 	}, func() float64 { return float64(recoverer.Count()) })
-	r.MustRegister(panics, m.Calls, m.CallSeconds, m.Attempts, m.Hedges, m.SlotWaitSeconds, m.Refusals, m.Pauses, m.LeavingSigns,
+	r.MustRegister(panics, m.Calls, m.CallSeconds, m.Attempts, m.Hedges, m.SilentCalls, m.SlotWaitSeconds, m.Refusals, m.Pauses, m.LeavingSigns,
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	return m
 }
--- a/internal/route/acquirer/encoding.go
+++ b/internal/route/acquirer/encoding.go
@@ -42,7 +42,7 @@
 func encodeDone(number uint64, r Result, keep bool) *messenger.Grant {
 	return &messenger.Grant{Kind: &messenger.Grant_Done{Done: &messenger.Done{
 		Number: number, Latency: int64(r.Latency), Busy: int32(r.ReportedCalls),
-		Failed: r.Failed, Refused: r.Refused, Drain: r.Drain, Keep: keep, Lost: r.Unanswered, Pace: r.Slowdown,
+		Failed: r.Failed, Refused: r.Refused, Drain: r.Drain, Keep: keep, Lost: r.Unanswered, Pace: r.Slowdown, Silent: r.Silent,
 	}}}
 }
 
--- a/internal/route/acquirer/grantstream.go
+++ b/internal/route/acquirer/grantstream.go
@@ -198,6 +198,14 @@
 	return true
 }
 
+func (g *grantStream) reportSilent(s *Slot) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if !g.broken {
+		g.outbox.Enqueue(&messenger.Grant{Kind: &messenger.Grant_Silent{Silent: &messenger.Silent{Number: s.ask.number}}})
+	}
+}
+
 func (g *grantStream) reportDone(s *Slot, r Result) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/internal/route/acquirer/home.go
+++ b/internal/route/acquirer/home.go
@@ -18,6 +18,7 @@
 	cancelAsk(p *poolAsk)    // Withdraws an ask, or gives its slot back without a result.
 	trackSlot(s *Slot) bool  // Records on this instance that a slot granted by the home is in use.
 	reportHeld(s *Slot) bool // Makes the home count a slot that another home granted.
+	reportSilent(s *Slot)    // Reports that the call on s is silent.
 	reportDone(s *Slot, r Result)
 	// failIfSilent fails the stream to the home if nothing has arrived on it after
 	// since, and reports whether it did.
@@ -64,6 +65,8 @@
 	return true
 }
 
+func (l *localHome) reportSilent(s *Slot) { l.allocator.MarkSilent(s.ask.pool.key, s.ask.id()) }
+
 func (l *localHome) reportDone(s *Slot, r Result) {
 	l.mu.Lock()
 	delete(l.slots, s.ask.number)
--- a/internal/route/acquirer/slot.go
+++ b/internal/route/acquirer/slot.go
@@ -43,6 +43,19 @@
 	}
 }
 
+// ReportSilent tells the homes that the call has gone without an answer for much longer
+// than its route takes. It has no effect after Release.
+func (s *Slot) ReportSilent() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.released {
+		return
+	}
+	for _, h := range s.homes {
+		h.reportSilent(s)
+	}
+}
+
 // reportTo makes h count the slot too, unless it already does.
 func (s *Slot) reportTo(h home) {
 	s.mu.Lock()
--- a/internal/route/allocator/allocator.go
+++ b/internal/route/allocator/allocator.go
@@ -85,6 +85,12 @@
 	al.sendToPool(k, &command{op: opReleaseSlot, request: SlotRequest{ID: id}, result: tracker.ProbeResult{Result: r}})
 }
 
+// MarkSilent records that the call on a slot has gone without an answer for much longer
+// than its route takes.
+func (al *Allocator) MarkSilent(k PoolKey, id ID) {
+	al.sendToPool(k, &command{op: opMarkSilent, request: SlotRequest{ID: id}})
+}
+
 // KeepSlot records the result of a call whose slot the entry keeps for its next
 // call.
 func (al *Allocator) KeepSlot(k PoolKey, id ID, r tracker.Result) {
--- a/internal/route/allocator/dispatch.go
+++ b/internal/route/allocator/dispatch.go
@@ -27,7 +27,7 @@
 	if !p.usesFreshReports() {
 		return p.freeSlots(now) > 0
 	}
-	return slices.ContainsFunc(p.servers.Servers(), func(s *tracker.Server) bool { return p.availableSlots(now, s) > 0 })
+	return p.hasGrantableServer(now)
 }
 
 // freeSlots returns the number of free slots, including those that are not
@@ -86,7 +86,7 @@
 	if p.grantNextOfRank(now, parser.Urgent) {
 		return true
 	}
-	if p.freeSlots(now) <= p.urgentReserve(now) {
+	if p.freeSlots(now)+p.lostSlots(now) <= p.urgentReserve(now) {
 		return false
 	}
 	return p.grantNextOfRank(now, parser.Normal) || p.grantNextOfRank(now, parser.Patient)
@@ -188,7 +188,7 @@
 func (p *Pool) pickServer(now time.Time, req SlotRequest) *tracker.Server {
 	all := p.candidateBuffer[:0]
 	for _, s := range p.servers.Servers() {
-		if s.FreeSlots(now) == 0 || slices.Contains(req.Avoid, s.Address) {
+		if s.FreeSlots(now) == 0 || p.isFullByReport(now, s) || slices.Contains(req.Avoid, s.Address) {
 			continue
 		}
 		if s.State(now) == tracker.Trial {
--- a/internal/route/allocator/doc.go
+++ b/internal/route/allocator/doc.go
@@ -22,6 +22,8 @@
 //   - Done: returns the slot with the result of the call. With Keep set, the
 //     entry keeps the slot for its next call instead.
 //   - Use: the entry started another call on a slot that it kept.
+//   - Silent: the call on a slot has gone without an answer for much longer than
+//     its route takes. Done says the same of a call that has ended.
 //   - Held: the entry holds a slot that another home of the pool granted.
 //
 // The home sends:
--- a/internal/route/allocator/pool.go
+++ b/internal/route/allocator/pool.go
@@ -58,6 +58,7 @@
 	slowdown       float64       // Slowdown of the server at the time of the grant; 0 when unknown.
 	nearlyFullTime time.Duration // Total time for which the server was nearly full until the grant.
 	kept           bool          // No call uses the slot; the entry keeps it for its next call.
+	silent         bool          // The call has gone without an answer for too long.
 	recalled       bool          // The entry was told to return the kept slot.
 }
 
@@ -331,6 +332,7 @@
 			p.recordHoldTime(now, g)
 		}
 	}
+	p.holdSilent(now, g, r)
 	p.updateNearlyFullTime(now, g.server)
 	if g.server.State(now) == tracker.Leaving && g.server.InFlight() == 0 && !p.isListed(g.server.Address) {
 		p.removeServer(g.server)
--- a/internal/route/allocator/probing.go
+++ b/internal/route/allocator/probing.go
@@ -74,21 +74,24 @@
 	var normal, slow, stale, unprobed []option
 	pending := 0
 	for _, s := range p.servers.Servers() {
-		if p.availableSlots(now, s) == 0 || s.InProbeBackoff(now) || slices.Contains(qr.Avoid, s.Address) {
+		proven := p.availableSlots(now, s) > 0
+		if !proven && !p.needsProof(now, s) || s.InProbeBackoff(now) || slices.Contains(qr.Avoid, s.Address) {
 			continue
 		}
 		o := p.serverOption(now, s)
 		slowdown, age, ok := s.Slowdown(now)
 		probeAge := s.PendingProbeAge(now)
 		switch {
-		case ok && age <= maxAge && slowdown <= maxNormalSlowdown:
+		case proven && ok && age <= maxAge && slowdown <= maxNormalSlowdown:
 			normal = append(normal, o)
-		case ok && age <= maxHighSlowdownAge && slowdown > maxNormalSlowdown:
+		case proven && ok && age <= maxHighSlowdownAge && slowdown > maxNormalSlowdown:
 			slow = append(slow, o)
 		case probeAge > 0 && probeAge <= maxProbeWait:
 			pending++
 		case p.MayProbe != nil && !p.MayProbe(now, s):
-			unprobed = append(unprobed, o)
+			if proven {
+				unprobed = append(unprobed, o)
+			}
 		case probeAge > 0: // The probe is late: do not wait for it and do not start another.
 		default:
 			stale = append(stale, o)
@@ -119,7 +122,8 @@
 	if isNearlyFull(s, 1) {
 		cost *= nearlyFullCostFactor
 	}
-	return option{s, cost + p.servers.WeightedFailureRatio(now, s)*failureCost, slowdown}
+	cost += p.servers.WeightedFailureRatio(now, s)*failureCost + float64(s.SilentCalls(now))*silentCost
+	return option{s, cost, slowdown}
 }
 
 // failureCost is the cost added for a failure ratio of 1. It exceeds the cost of
--- a/internal/route/allocator/session.go
+++ b/internal/route/allocator/session.go
@@ -81,6 +81,10 @@
 		}
 	case *messenger.Grant_Done:
 		s.handleDone(k.Done)
+	case *messenger.Grant_Silent:
+		if key, ok := s.poolOf(k.Silent.Number); ok {
+			s.allocator.MarkSilent(key, ID{s, k.Silent.Number})
+		}
 	case *messenger.Grant_Use:
 		if key, ok := s.poolOf(k.Use.Number); ok {
 			s.allocator.UseKeptSlot(key, ID{s, k.Use.Number}, decodeRank(k.Use.Rank), now.Add(time.Duration(k.Use.Left)))
@@ -174,7 +178,7 @@
 
 func decodeResult(d *messenger.Done) tracker.Result {
 	return tracker.Result{
-		Failed: d.Failed, Refused: d.Refused, Drain: d.Drain, Unanswered: d.Lost,
+		Failed: d.Failed, Refused: d.Refused, Drain: d.Drain, Unanswered: d.Lost, Silent: d.Silent,
 		Latency: time.Duration(d.Latency), ReportedCalls: int(d.Busy), Slowdown: d.Pace,
 	}
 }
--- a/internal/route/allocator/status.go
+++ b/internal/route/allocator/status.go
@@ -80,6 +80,8 @@
 	case s.Free > 0:
 	case s.InFlight >= s.Limit:
 		s.BlockedReason = fmt.Sprintf("%d of %d slots in use", s.InFlight, s.Limit)
+	case server.LostCalls(now) > 0:
+		s.BlockedReason = "slots held by calls without an answer"
 	default:
 		s.BlockedReason = "slots kept closed after fast failures"
 	}
--- a/internal/route/allocator/worker.go
+++ b/internal/route/allocator/worker.go
@@ -18,6 +18,7 @@
 	opRequestSlot opcode = iota
 	opCancelRequest
 	opReleaseSlot
+	opMarkSilent
 	opKeepSlot
 	opUseKeptSlot
 	opAddHeldSlot
@@ -112,6 +113,8 @@
 		p.CancelRequest(now, cmd.request.ID)
 	case opReleaseSlot:
 		p.ReleaseSlot(now, cmd.request.ID, cmd.result.Result)
+	case opMarkSilent:
+		p.MarkSilent(now, cmd.request.ID)
 	case opKeepSlot:
 		p.KeepSlot(now, cmd.request.ID, cmd.result.Result)
 	case opUseKeptSlot:
--- a/internal/route/tracker/pool.go
+++ b/internal/route/tracker/pool.go
@@ -102,6 +102,9 @@
 	s.updateLoad(now, r.ReportedCalls, s.inFlight)
 	s.updateSlowdown(now, r.Slowdown)
 	p.startDrain(now, s, r.Drain)
+	if !r.Unanswered {
+		s.recordAnswer(now)
+	}
 	if r.Failed && !r.Refused {
 		p.holdSlot(now, s, r.Latency)
 	}
@@ -168,6 +171,9 @@
 		p.setLimit(now, s, max(s.limit-1, 1), "documented refusal")
 		return
 	}
+	if r.Unanswered && !r.Failed && (r.Silent || s.ejected) {
+		return // A call that was cancelled without an answer is no success.
+	}
 	s.countResult(now, p.Settings.FailureWindow, r.Failed)
 	switch {
 	case s.ejected:
@@ -207,14 +213,19 @@
 	p.note(now, s, cause, "limit "+strconv.Itoa(before), "limit "+strconv.Itoa(limit))
 }
 
-// ejectIfFailing ejects s when its failure ratio is too high, unless more than half
-// of the pool would then be ejected. The only server of a pool is never ejected.
-// The trial delay doubles when the previous ejection ended less than MaxTrialDelay ago.
+// ejectIfFailing ejects s when its failure ratio is too high.
 func (p *Pool) ejectIfFailing(now time.Time, s *Server) {
 	ratio, results := s.FailureRatio(now, p.Settings.FailureWindow)
 	if results < minResults || ratio <= maxFailureRatio {
 		return
 	}
+	p.tryEject(now, s, "failures "+strconv.FormatFloat(ratio, 'f', 2, 64))
+}
+
+// tryEject ejects s, unless more than half of the pool would then be ejected. The only
+// server of a pool is never ejected. The trial delay doubles when the previous ejection
+// ended less than MaxTrialDelay ago.
+func (p *Pool) tryEject(now time.Time, s *Server, cause string) {
 	ejected := 1
 	for _, o := range p.servers {
 		if o.ejected {
@@ -228,7 +239,7 @@
 	if !s.readmittedAt.IsZero() && now.Sub(s.readmittedAt) < p.Settings.MaxTrialDelay {
 		delay = min(2*s.trialDelay, p.Settings.MaxTrialDelay)
 	}
-	p.ejectServer(now, s, delay, "failures "+strconv.FormatFloat(ratio, 'f', 2, 64))
+	p.ejectServer(now, s, delay, cause)
 }
 
 // ejectServer starts an ejection, or extends it after a failed trial call.
@@ -260,7 +271,7 @@
 // at once. Drains and limits stay.
 func (p *Pool) DiscardMeasurements(now time.Time) {
 	for _, s := range p.servers {
-		s.latency, s.recent, s.previous, s.heldUntil = 0, resultCounts{}, resultCounts{}, nil
+		s.latency, s.recent, s.previous, s.heldUntil, s.silence = 0, resultCounts{}, resultCounts{}, nil, silence{}
 		s.externalCalls, s.reportedCalls = 0, -1
 		s.slowdown, s.slowdownAt, s.probeSentAt = 0, time.Time{}, time.Time{}
 		if s.ejected {
--- a/internal/route/tracker/server.go
+++ b/internal/route/tracker/server.go
@@ -30,6 +30,7 @@
 	Refused       bool // Refused is set when the backend server states that it did not run the call.
 	Drain         bool // Drain is set when the backend server asked for no new calls.
 	Unanswered    bool // Unanswered is set when no response arrived; Latency is then the time until the call was abandoned.
+	Silent        bool // Silent is set when no response arrived in much more time than the call should take, so that it may still be at the server.
 	Latency       time.Duration
 	ReportedCalls int     // Calls that run or wait on the server by its own report; -1 when unknown.
 	Slowdown      float64 // Time that work takes on the server now divided by its usual time; 0 when unknown.
@@ -81,6 +82,7 @@
 	probeSentAt  time.Time // Time of the pending probe; zero when there is none.
 	backoffUntil time.Time
 	backoff      time.Duration
+	silence      silence
 }
 
 // InFlight returns the number of calls in flight that this pool granted.
@@ -110,7 +112,7 @@
 	switch s.State(now) {
 	case Ready:
 		s.heldUntil = slices.DeleteFunc(s.heldUntil, func(end time.Time) bool { return !end.After(now) })
-		return max(s.limit-s.inFlight-len(s.heldUntil), 0)
+		return max(s.limit-s.inFlight-len(s.heldUntil)-s.LostCalls(now), 0)
 	case Trial:
 		return max(1-s.inFlight, 0)
 	default:
@@ -201,8 +203,9 @@
 	if reportedCalls < 0 || reportedAt.Before(s.reportedAt) {
 		return
 	}
+	s.releaseLost(reportedAt, reportedCalls, ownInFlight)
 	s.reportedAt, s.reportedCalls = reportedAt, reportedCalls
-	s.externalCalls = float64(max(reportedCalls-ownInFlight, 0))
+	s.externalCalls = float64(max(reportedCalls-ownInFlight-len(s.silence.lost), 0))
 }
 
 // ReportedExternalCalls returns the number of calls at the server that this pool
