--- a/internal/route/acquirer/encoding.go
+++ b/internal/route/acquirer/encoding.go
@@ -21,7 +21,7 @@
 	req := &p.acquisition.request
 	m := &messenger.Ask{
 		Number: p.number, Pool: encodePool(p.pool.key), Rank: uint32(req.Rank), Left: int64(time.Until(req.Deadline)),
-		Target: int64(time.Until(req.Target)), Route: req.Route, Extra: p.extra,
+		Target: int64(time.Until(req.Target)), Route: req.Route, Extra: p.extra, Hedge: req.Hedge,
 	}
 	for _, addr := range req.Avoid {
 		b, _ := addr.MarshalBinary() // The error is always nil.
@@ -42,7 +42,7 @@
 func encodeDone(number uint64, r Result, keep bool) *messenger.Grant {
 	return &messenger.Grant{Kind: &messenger.Grant_Done{Done: &messenger.Done{
 		Number: number, Latency: int64(r.Latency), Busy: int32(r.ReportedCalls),
-		Failed: r.Failed, Refused: r.Refused, Drain: r.Drain, Keep: keep, Lost: r.Unanswered, Pace: r.Slowdown,
+		Failed: r.Failed, Refused: r.Refused, Drain: r.Drain, Keep: keep, Lost: r.Unanswered, Pace: r.Slowdown, Silent: r.Silent,
 	}}}
 }
 
--- a/internal/route/allocator/dispatch.go
+++ b/internal/route/allocator/dispatch.go
@@ -18,6 +18,7 @@
 	for more && len(p.queued) > 0 {
 		more = p.hasAvailableServer(now) && p.grantNext(now)
 	}
+	p.dispatchHedges(now)
 	p.recallForQueued()
 }
 
@@ -26,7 +27,7 @@
 	if !p.usesFreshReports() {
 		return p.freeSlots(now) > 0
 	}
-	return slices.ContainsFunc(p.servers.Servers(), func(s *tracker.Server) bool { return p.availableSlots(now, s) > 0 })
+	return p.hasGrantableServer(now)
 }
 
 // freeSlots returns the number of free slots, including those that are not
@@ -85,7 +86,7 @@
 	if p.grantNextOfRank(now, parser.Urgent) {
 		return true
 	}
-	if p.freeSlots(now) <= p.urgentReserve(now) {
+	if p.freeSlots(now)+p.lostSlots(now) <= p.urgentReserve(now) {
 		return false
 	}
 	return p.grantNextOfRank(now, parser.Normal) || p.grantNextOfRank(now, parser.Patient)
@@ -118,19 +119,24 @@
 		p.removeQueued(qr.ID)
 		p.grantSlot(now, s, qr.SlotRequest)
 		p.updateCredits(r)
-		reply := Reply{Number: qr.Number, Kind: ReplyOffered, Server: s.Address, MayKeep: p.canKeepSlots(now), Load: p.currentLoad(now)}
-		if p.isLimited(now, s) {
-			reply.Cold, reply.Wait, reply.MayKeep = true, now.Sub(qr.queuedAt), false
-		}
-		if slowdown, age, ok := s.Slowdown(now); ok {
-			reply.Slowdown, reply.SlowdownAge = slowdown, age
-		}
-		qr.Owner.ReceiveReply(reply)
+		p.offerSlot(now, qr, s)
 		return true
 	}
 	return false
 }
 
+// offerSlot tells the owner of qr that it was granted a slot of s.
+func (p *Pool) offerSlot(now time.Time, qr *queuedRequest, s *tracker.Server) {
+	reply := Reply{Number: qr.Number, Kind: ReplyOffered, Server: s.Address, MayKeep: p.canKeepSlots(now), Load: p.currentLoad(now)}
+	if p.isLimited(now, s) {
+		reply.Cold, reply.Wait, reply.MayKeep = true, now.Sub(qr.queuedAt), false
+	}
+	if slowdown, age, ok := s.Slowdown(now); ok {
+		reply.Slowdown, reply.SlowdownAge = slowdown, age
+	}
+	qr.Owner.ReceiveReply(reply)
+}
+
 // avoidsUsable reports whether avoid has a server of the pool that other requests may use.
 func (p *Pool) avoidsUsable(now time.Time, avoid []netip.AddrPort) bool {
 	return slices.ContainsFunc(avoid, func(addr netip.AddrPort) bool {
@@ -185,7 +191,7 @@
 func (p *Pool) pickServer(now time.Time, req SlotRequest) *tracker.Server {
 	all := p.candidateBuffer[:0]
 	for _, s := range p.servers.Servers() {
-		if s.FreeSlots(now) == 0 || !p.allowsCold(now, s) || slices.Contains(req.Avoid, s.Address) {
+		if s.FreeSlots(now) == 0 || !p.allowsCold(now, s) || p.isFullByReport(now, s) || slices.Contains(req.Avoid, s.Address) {
 			continue
 		}
 		if s.State(now) == tracker.Trial {
--- a/internal/route/allocator/doc.go
+++ b/internal/route/allocator/doc.go
@@ -16,11 +16,14 @@
 //
 //   - Ask: requests a slot. Left is the time to the deadline of the call and
 //     Target the time to its target, by which the caller prefers an answer.
-//     Avoid lists backend servers that the call must not use.
+//     Avoid lists backend servers that the call must not use. Hedge says that
+//     the request must not be queued.
 //   - Cancel: withdraws the request, or returns its slot unused.
 //   - Done: returns the slot with the result of the call. With Keep set, the
 //     entry keeps the slot for its next call instead.
 //   - Use: the entry started another call on a slot that it kept.
+//   - Silent: the call on a slot has gone without an answer for much longer than
+//     its route takes. Done says the same of a call that has ended.
 //   - Held: the entry holds a slot that another home of the pool granted.
 //
 // The home sends:
--- a/internal/route/allocator/pool.go
+++ b/internal/route/allocator/pool.go
@@ -39,6 +39,7 @@
 	nearlyFull      nearlyFullEstimator
 	load            loadReporter
 	queued          map[ID]*list.Element
+	hedges          []*queuedRequest // Hedges that wait for the result of a probe.
 	grants          map[ID]*grant
 	keptCount       int       // Number of grants kept by entries between calls.
 	meanHoldTime    float64   // EWMA of the hold time of all calls, in nanoseconds.
@@ -63,6 +64,7 @@
 	slowdown       float64       // Slowdown of the server at the time of the grant; 0 when unknown.
 	nearlyFullTime time.Duration // Total time for which the server was nearly full until the grant.
 	kept           bool          // No call uses the slot; the entry keeps it for its next call.
+	silent         bool          // The call has gone without an answer for too long.
 	recalled       bool          // The entry was told to return the kept slot.
 	unused         bool          // The entry returned the slot without a call.
 }
@@ -172,6 +174,10 @@
 		p.refuseRequest(now, req, ReasonLate)
 		return
 	}
+	if req.Hedge {
+		p.requestHedge(now, req)
+		return
+	}
 	q := &p.queues[req.Rank]
 	if req.Target.IsZero() {
 		req.Target = req.Deadline
@@ -238,6 +244,7 @@
 	if g := p.grants[id]; g != nil {
 		g.unused = true
 	}
+	p.removeHedges(func(other ID) bool { return other == id })
 	if p.endGrant(id, nil, now) {
 		p.dispatch(now)
 	}
@@ -267,6 +274,7 @@
 			p.removeQueued(id)
 		}
 	}
+	p.removeHedges(func(id ID) bool { return id.Owner == owner })
 	for id := range p.grants {
 		if id.Owner == owner {
 			p.endGrant(id, nil, now)
@@ -312,8 +320,8 @@
 	}
 }
 
-// QueuedCount returns the number of queued requests.
-func (p *Pool) QueuedCount() int { return len(p.queued) }
+// QueuedCount returns the number of queued requests and of hedges that wait for probes.
+func (p *Pool) QueuedCount() int { return len(p.queued) + len(p.hedges) }
 
 // GrantedCount returns the number of granted slots, kept ones included.
 func (p *Pool) GrantedCount() int { return len(p.grants) }
@@ -356,6 +364,7 @@
 			p.recordHoldTime(now, g)
 		}
 	}
+	p.holdSilent(now, g, r)
 	p.updateNearlyFullTime(now, g.server)
 	if g.server.State(now) == tracker.Leaving && g.server.InFlight() == 0 && !p.isListed(g.server.Address) {
 		p.removeServer(g.server)
--- a/internal/route/allocator/probing.go
+++ b/internal/route/allocator/probing.go
@@ -74,7 +74,8 @@
 	var normal, slow, stale, unprobed, refusing, staleRefusing []option
 	pending := 0
 	for _, s := range p.servers.Servers() {
-		if p.availableSlots(now, s) == 0 || s.InProbeBackoff(now) || slices.Contains(qr.Avoid, s.Address) {
+		proven := p.availableSlots(now, s) > 0
+		if !proven && !p.needsProof(now, s) || s.InProbeBackoff(now) || slices.Contains(qr.Avoid, s.Address) {
 			continue
 		}
 		o := p.serverOption(now, s)
@@ -82,18 +83,20 @@
 		probeAge := s.PendingProbeAge(now)
 		isRefusing := p.servers.IsRefusing(now, s)
 		switch {
-		case isRefusing && ok && age <= maxAge && slowdown <= maxNormalSlowdown:
+		case isRefusing && proven && ok && age <= maxAge && slowdown <= maxNormalSlowdown:
 			refusing = append(refusing, o)
-		case ok && age <= maxAge && p.isLimited(now, s):
+		case proven && ok && age <= maxAge && p.isLimited(now, s):
 			slow = append(slow, o)
-		case ok && age <= maxAge && slowdown <= maxNormalSlowdown:
+		case proven && ok && age <= maxAge && slowdown <= maxNormalSlowdown:
 			normal = append(normal, o)
-		case ok && age <= maxHighSlowdownAge && slowdown > maxNormalSlowdown:
+		case proven && ok && age <= maxHighSlowdownAge && slowdown > maxNormalSlowdown:
 			slow = append(slow, o)
 		case probeAge > 0 && probeAge <= maxProbeWait:
 			pending++
 		case p.MayProbe != nil && !p.MayProbe(now, s):
-			unprobed = append(unprobed, o)
+			if proven {
+				unprobed = append(unprobed, o)
+			}
 		case probeAge > 0: // The probe is late: do not wait for it and do not start another.
 		case isRefusing:
 			staleRefusing = append(staleRefusing, o)
@@ -135,7 +138,8 @@
 	if isNearlyFull(s, 1) {
 		cost *= nearlyFullCostFactor
 	}
-	return option{s, cost + p.servers.WeightedFailureRatio(now, s)*failureCost, slowdown}
+	cost += p.servers.WeightedFailureRatio(now, s)*failureCost + float64(s.SilentCalls(now))*silentCost
+	return option{s, cost, slowdown}
 }
 
 // failureCost is the cost added for a failure ratio of 1. It exceeds the cost of
