--- a/internal/config/parser/settings.go
+++ b/internal/config/parser/settings.go
@@ -23,6 +23,7 @@
 	Grace   Duration         `toml:"grace,omitempty"`   // Time between SIGTERM and the forced end of the process; 0 means none.
 	Memory  int              `toml:"memory,omitempty"`  // Memory of the process in MB; 0 means no limit.
 	Collect int              `toml:"collect,omitempty"` // Growth of the heap between garbage collections in percent; 0 means that of the Go runtime.
+	Terms   []string         `toml:"terms,omitempty"`   // What the platform states to be in force, in its own words; only the adapter of the platform reads it.
 	Retry   Retry            `toml:"retry,omitempty"`
 	Zones   Zones            `toml:"zones,omitempty"`
 	Cold    ColdBound        `toml:"cold,omitempty"`
--- a/internal/instance/runner/adapters.go
+++ b/internal/instance/runner/adapters.go
@@ -89,8 +89,11 @@
 
 // retryLimit returns this instance's share of the common retry budget.
 func (c *components) retryLimit() retrier.Limit {
-	r := c.retrySettings.Load()
-	return retrier.Limit{Share: retryBudgetFraction * r.Ratio, Capacity: max(retryBudgetFraction*float64(r.Slack)/float64(c.fleetSize()), 1), Hedge: r.Hedge}
+	r, hedge := c.retrySettings.Load(), 0.0
+	if c.usesBulkSettings() {
+		hedge = r.Hedge
+	}
+	return retrier.Limit{Share: retryBudgetFraction * r.Ratio, Capacity: max(retryBudgetFraction*float64(r.Slack)/float64(c.fleetSize()), 1), Hedge: hedge}
 }
 
 // onDemandProbeTimeout limits a probe for whose result a request for a slot may
--- a/internal/instance/runner/components.go
+++ b/internal/instance/runner/components.go
@@ -41,8 +41,7 @@
 	metrics         *meter.Metrics
 
 	routingTable   router.TableHolder
-	rebuildMu      sync.Mutex // Serializes updates of routingTable and guards appliedCollect.
-	appliedCollect int        // Growth of the heap in percent that applyCollect set last.
+	rebuildMu      sync.Mutex // Serializes updates of routingTable.
 	withholder     withholder.Withholder
 	coldSchedule   router.ColdSchedule // Guarded by rebuildMu.
 	audit          auditor.Trail
@@ -267,7 +266,6 @@
 	c.withholder.MarkLeaving(time.Now(), table)
 	c.coldSchedule.Mark(time.Now(), table)
 	c.routingTable.Store(table)
-	c.applyCollect(table)
 	c.withholder.SetEvacuatedZones(time.Now(), table.EvacuatedZones) // After Store, so that those who wait see the new pools.
 	servers := make(map[netip.AddrPort]bool)
 	for _, s := range table.Services {
