Refuse waiting requests by the predicted wait

Callers with seconds to spare were refused while the queue would have served them in time: a request could wait for a quarter of its slack, whatever the service rate was. Requests of one rank with short and long slack were served in order of arrival, so short ones missed their targets behind long ones.

A pool now measures the rate at which requests of a route leave its queue. Routes with at least 1 s of slack are admitted, kept and refused by the wait that this rate predicts. Others keep the limit of a quarter of the slack. Within a rank, the requests with the least time left go first. Routes with waiting requests share a floor of half of the slot time of their rank.

--- a/internal/route/allocator/admission.go
+++ b/internal/route/allocator/admission.go
@@ -33,6 +33,9 @@
 	// target even if it is granted at once. It is about the wait for the next
 	// free slot in a pool that is not overloaded.
 	missedTargetMaxWait = 50 * time.Millisecond
+	// minPredictableSlack is the slack from which the wait of a request is predicted.
+	// It is twice the time after which the servers' slowdown changes.
+	minPredictableSlack = time.Second
 	// minSlowdown is the lowest slowdown by which the slots of a server are
 	// weighted. It is also assumed for a server without a recent report.
 	minSlowdown = 1.0
@@ -97,7 +100,7 @@
 // shouldRefuse reports whether the queued request qr should be refused, because
 // its call would end after its deadline or because it has waited for longer than
 // maxWait while other requests of its rank wait too.
-func (p *Pool) shouldRefuse(now time.Time, qr *queuedRequest) bool {
+func (p *Pool) shouldRefuse(now time.Time, qr *queuedRequest, ahead int) bool {
 	if !p.usesFreshReports() {
 		return now.Add(p.medianLatency(now)).After(qr.Deadline)
 	}
@@ -107,7 +110,45 @@
 	if p.queues[qr.Rank].len() < 2 {
 		return false
 	}
-	return now.Sub(qr.queuedAt) > p.maxWait(qr)
+	if qr.route.predictable() {
+		return !hasProspect(p.predictWait(now, qr.route, qr.route.work, ahead), qr.latestStart.Sub(now), true)
+	}
+	return now.Sub(qr.queuedAt) > maxWait(qr.latestStart.Sub(qr.queuedAt))
+}
+
+// refuseLate refuses the queued requests that will not be served in time.
+func (p *Pool) refuseLate(now time.Time) {
+	for r := range p.queues {
+		q := &p.queues[r]
+		for _, route := range q.routes {
+			route.ahead = 0
+		}
+		for _, qr := range p.serviceOrder(now, q) {
+			if p.shouldRefuse(now, qr, qr.route.ahead) {
+				p.refuseQueued(now, qr, ReasonLate)
+			} else {
+				qr.route.ahead++
+			}
+		}
+	}
+}
+
+// lacksProspect reports whether the new request qr will not be granted in time.
+func (p *Pool) lacksProspect(now time.Time, qr *queuedRequest) bool {
+	ahead := qr.route.waiting - 1
+	if ahead == 0 || !p.usesFreshReports() || !qr.route.predictable() {
+		return false
+	}
+	work := p.expectedWork(qr.SlotRequest)
+	left := qr.Target.Sub(now) - work
+	return !hasProspect(p.predictWait(now, qr.route, work, ahead), left, false)
+}
+
+// retryDelay returns the time after which the requests that wait before a retry of
+// the refused req have got their slots.
+func (p *Pool) retryDelay(now time.Time, req SlotRequest) time.Duration {
+	route := p.queues[req.Rank].routeOf(req.Route)
+	return max(p.predictWait(now, route, p.expectedWork(req), route.waiting), p.slowdownAdjustedWait(now, req.Rank))
 }
 
 // missesDeadline reports whether the call of req cannot end before its deadline
@@ -116,12 +157,11 @@
 	return now.Add(time.Duration(minWorkShare * float64(p.expectedWork(req)))).After(req.Deadline)
 }
 
-// maxWait returns how long qr may wait while other requests of its rank wait:
-// the share maxWaitShare of its slack, so that the caller can still retry in time
-// after a refusal. The slack is the time from the arrival of the request to its
+// maxWait returns how long a request may wait while other requests of its rank
+// wait: the share maxWaitShare of its slack, so that the caller can still retry in
+// time after a refusal. The slack is the time from the arrival of the request to its
 // target, less the expected work.
-func (p *Pool) maxWait(qr *queuedRequest) time.Duration {
-	slack := qr.Target.Sub(qr.queuedAt) - p.expectedWork(qr.SlotRequest)
+func maxWait(slack time.Duration) time.Duration {
 	if slack <= 0 {
 		return missedTargetMaxWait
 	}
--- a/internal/route/allocator/dispatch.go
+++ b/internal/route/allocator/dispatch.go
@@ -101,8 +101,7 @@
 			break
 		}
 		if !qr.Deadline.After(now) {
-			p.removeQueued(qr.ID)
-			p.refuseRequest(now, qr.SlotRequest, ReasonLate)
+			p.refuseQueued(now, qr, ReasonLate)
 			continue
 		}
 		s := p.chooseServer(now, qr)
@@ -115,9 +114,10 @@
 		case s == nil:
 			continue
 		}
-		p.removeQueued(qr.ID)
+		p.drainQueued(now, qr.ID)
 		p.grantSlot(now, s, qr.SlotRequest)
 		p.updateCredits(r)
+		p.queues[r].creditRoutes(now, qr.Route, float64(p.expectedWork(qr.SlotRequest)), p.expectedHoldTime(r))
 		reply := Reply{Number: qr.Number, Kind: ReplyOffered, Server: s.Address, MayKeep: p.canKeepSlots(now)}
 		if slowdown, age, ok := s.Slowdown(now); ok {
 			reply.Slowdown, reply.SlowdownAge = slowdown, age
@@ -248,7 +248,7 @@
 	p.queues[req.Rank].countRefusal(reason)
 	after := max(p.queueWait(now, req.Rank), minRetryAfter)
 	if p.usesFreshReports() {
-		after = max(p.slowdownAdjustedWait(now, req.Rank), minRetryAfter)
+		after = max(p.retryDelay(now, req), minRetryAfter)
 	}
 	if reason == ReasonNone {
 		after = noServerRetryAfter
--- a/internal/route/allocator/pool.go
+++ b/internal/route/allocator/pool.go
@@ -39,8 +39,11 @@
 	meanHoldTime    float64   // EWMA of the hold time of all calls, in nanoseconds.
 	lastUrgent      time.Time // Time of the last urgent request.
 	slotRatio       float64   // Slots of the whole service divided by those of the pool.
+	countedSlots    float64   // Result of effectiveSlots at slotsCountedAt.
+	slotsCountedAt  time.Time
 	candidateBuffer []picker.Candidate[*tracker.Server]
 	orderBuffer     []*queuedRequest // Reused by serviceOrder.
+	orderRound      uint64           // Number of calls of serviceOrder.
 	// awaitingProbes is set if the last call of chooseByFreshReports chose no
 	// server because probes are in progress.
 	awaitingProbes bool
@@ -139,10 +142,9 @@
 // refuseUnservable refuses the queued requests that no server of the pool can
 // serve any more; see hasUsableServer.
 func (p *Pool) refuseUnservable(now time.Time) {
-	for id, e := range p.queued {
+	for _, e := range p.queued {
 		if qr := e.Value.(*queuedRequest); !p.hasUsableServer(now, qr.Avoid) {
-			p.refuseRequest(now, qr.SlotRequest, ReasonNone)
-			p.removeQueued(id)
+			p.refuseQueued(now, qr, ReasonNone)
 		}
 	}
 }
@@ -173,8 +175,7 @@
 		p.refuseRequest(now, req, ReasonLate)
 		return
 	}
-	qr := &queuedRequest{SlotRequest: req, queuedAt: now}
-	p.queued[req.ID] = q.requests.PushBack(qr)
+	qr := p.enqueue(now, req)
 	p.dispatch(now)
 	if p.queued[req.ID] == nil {
 		return
@@ -182,18 +183,19 @@
 	newestFirst := q.overloaded(now)
 	switch {
 	case q.len() > p.queueLimit():
-		dropped := q.requests.Front().Value.(*queuedRequest).SlotRequest
-		if !newestFirst {
-			dropped = req
+		dropped := qr
+		if newestFirst {
+			dropped = q.requests.Front().Value.(*queuedRequest)
 		}
-		p.removeQueued(dropped.ID)
-		p.refuseRequest(now, dropped, ReasonFull)
-		if dropped.ID == req.ID {
+		p.refuseQueued(now, dropped, ReasonFull)
+		if dropped == qr {
 			return
 		}
 	case !p.usesFreshReports() && !newestFirst && now.Add(p.queueWait(now, req.Rank)+p.medianLatency(now)).After(req.Deadline):
-		p.removeQueued(req.ID)
-		p.refuseRequest(now, req, ReasonLate)
+		p.refuseQueued(now, qr, ReasonLate)
+		return
+	case p.lacksProspect(now, qr):
+		p.refuseQueued(now, qr, ReasonLate)
 		return
 	}
 	if !p.probePending(now) {
@@ -215,7 +217,7 @@
 // CancelRequest withdraws a slot request, or releases the slot that was granted
 // for it.
 func (p *Pool) CancelRequest(now time.Time, id ID) {
-	p.removeQueued(id)
+	p.drainQueued(now, id)
 	if p.endGrant(id, nil, now) {
 		p.dispatch(now)
 	}
@@ -234,7 +236,7 @@
 	if s == nil || p.grants[id] != nil {
 		return
 	}
-	p.removeQueued(id)
+	p.drainQueued(now, id)
 	p.grantSlot(now, s, SlotRequest{ID: id, Rank: min(rank, parser.Patient), Deadline: deadline})
 }
 
@@ -267,6 +269,9 @@
 func (p *Pool) ResetStale(now time.Time) {
 	p.servers.DiscardMeasurements(now)
 	p.meanHoldTime = initialHoldTime
+	for r := range p.queues {
+		p.queues[r].resetRates(now)
+	}
 	p.Tick(now)
 }
 
@@ -280,12 +285,7 @@
 	}
 	p.dispatch(now)
 	p.notifyAllQueued(now)
-	for id, e := range p.queued {
-		if qr := e.Value.(*queuedRequest); p.shouldRefuse(now, qr) {
-			p.removeQueued(id)
-			p.refuseRequest(now, qr.SlotRequest, ReasonLate)
-		}
-	}
+	p.refuseLate(now)
 }
 
 // QueuedCount returns the number of queued requests.
@@ -358,8 +358,10 @@
 		return
 	}
 	delete(p.queued, id)
-	q := &p.queues[e.Value.(*queuedRequest).Rank]
+	qr := e.Value.(*queuedRequest)
+	q := &p.queues[qr.Rank]
 	q.requests.Remove(e)
+	qr.route.waiting--
 	if q.len() == 0 {
 		q.credit = 0
 	}
--- a/internal/route/allocator/queue.go
+++ b/internal/route/allocator/queue.go
@@ -8,20 +8,25 @@
 // queuedRequest is a slot request in a queue.
 type queuedRequest struct {
 	SlotRequest
-	queuedAt     time.Time
-	notified     bool // The owner was told that the request waits.
-	missesTarget bool // The request can no longer meet its target. Set by serviceOrder.
-	workClass    int  // Class of expected work; see workClassOf. Set by serviceOrder under overload.
+	queuedAt time.Time
+	route    *routeQueue // Queue of its route and rank.
+	notified bool        // The owner was told that the request waits.
+
+	// Set by serviceOrder.
+	latestStart  time.Time // Time by which the call has to start to meet its target.
+	missesTarget bool      // That time has passed.
+	orderTime    time.Time // Requests that are not overloaded are served in the order of this time.
 }
 
 // queue holds the requests of one rank in order of arrival.
 type queue struct {
 	requests     list.List
-	credit       float64           // Slot time that the rank may use under its floor, in nanoseconds.
-	meanHoldTime float64           // EWMA of the hold time of the calls of the rank, in nanoseconds; 0 before any call has ended.
-	meanWork     float64           // EWMA of the work of the calls, their hold time at the usual server speed, in nanoseconds; 0 before any call has ended.
-	granted      uint64            // Number of granted slots and of calls on kept slots.
-	refused      map[string]uint64 // Number of refusals by reason.
+	credit       float64                // Slot time that the rank may use under its floor, in nanoseconds.
+	meanHoldTime float64                // EWMA of the hold time of the calls of the rank, in nanoseconds; 0 before any call has ended.
+	meanWork     float64                // EWMA of the work of the calls, their hold time at the usual server speed, in nanoseconds; 0 before any call has ended.
+	granted      uint64                 // Number of granted slots and of calls on kept slots.
+	refused      map[string]uint64      // Number of refusals by reason.
+	routes       map[string]*routeQueue // By route.
 }
 
 // recordHoldTime records how long a call of the rank used its slot.
