--- a/internal/route/allocator/dispatch.go
+++ b/internal/route/allocator/dispatch.go
@@ -102,8 +102,7 @@
 			break
 		}
 		if !qr.Deadline.After(now) {
-			p.removeQueued(qr.ID)
-			p.refuseRequest(now, qr.SlotRequest, ReasonLate)
+			p.refuseQueued(now, qr, ReasonLate)
 			continue
 		}
 		s := p.chooseServer(now, qr)
@@ -116,9 +115,10 @@
 		case s == nil:
 			continue
 		}
-		p.removeQueued(qr.ID)
+		p.drainQueued(now, qr.ID)
 		p.grantSlot(now, s, qr.SlotRequest)
 		p.updateCredits(r)
+		p.queues[r].creditRoutes(now, qr.Route, float64(p.expectedWork(qr.SlotRequest)), p.expectedHoldTime(r))
 		p.offerSlot(now, qr, s)
 		return true
 	}
@@ -258,7 +258,7 @@
 	p.queues[req.Rank].countRefusal(reason)
 	after := max(p.queueWait(now, req.Rank), minRetryAfter)
 	if p.usesFreshReports() {
-		after = max(p.slowdownAdjustedWait(now, req.Rank), minRetryAfter)
+		after = max(p.retryDelay(now, req), minRetryAfter)
 	}
 	if wait, ok := p.coldWait(now, req.Avoid, p.queuedUpTo(req.Rank)+1); ok {
 		after = max(after, wait)
