--- a/internal/call/retrier/hedge.go
+++ b/internal/call/retrier/hedge.go
@@ -22,8 +22,10 @@
 	// route gets a few calls per second at an instance, so these are the calls of
 	// about the last minute.
 	workSamples = 128
-	// minWorkSamples is the number of calls from which the work of a route is known.
-	minWorkSamples = 20
+	// minWorkSamples is the number of calls from which the work of a route is known. If
+	// work varies by a third, their median is within a fifth of that of the route in 9 of
+	// 10 cases. A route with one call per second at a new instance gets there in seconds.
+	minWorkSamples = 8
 	// sortPeriod is the number of calls after which the quantiles are computed again.
 	sortPeriod = 8
 	// An attempt is hedged when it has taken hedgeFactor times the median of its
