Hedge earlier, and late retries only where slots are free

A hedge starts after 1.4 times the median, and up to 0.9 medians before the target. A silent call that has missed its target is retried only if a slot is free now. Silent calls that a hedge overtook are left out of the work of the route; with more than a fifth of them, hedges stopped.

--- a/internal/call/retrier/hedge.go
+++ b/internal/call/retrier/hedge.go
@@ -28,14 +28,17 @@
 	sortPeriod = 8
 	// An attempt is hedged when it has taken hedgeFactor times the median of its
 	// route, or its hedgeQuantile if that is later. Work varies by about a third, so
-	// 1.5 times the median is exceeded by 7 in 100 ordinary calls. The median is not
+	// 1.4 times the median is exceeded by one in ten ordinary calls. The median is not
 	// affected by the calls that take several times as long, and the quantile limits
 	// the hedges of a route whose work varies more.
-	hedgeFactor   = 1.5
+	hedgeFactor   = 1.4
 	hedgeQuantile = 0.8
-	// finishFactor is the multiple of the median that a hedge needs at least between
-	// its start and the target.
-	finishFactor = 1.1
+	// finishFactor is the multiple of the median that must be left between the start of a
+	// hedge and the target. About a third of the hedges need less.
+	finishFactor = 0.9
+	// earliestFactor is the multiple of the median before which no attempt is hedged to
+	// leave that much time. Most ordinary calls have been answered by then.
+	earliestFactor = 1.1
 	// slowWaitFactor is the multiple of the median after which an attempt is hedged
 	// that is expected to miss its target because its server is slow. By then, the
 	// report by which it was expected may have been contradicted by an answer.
@@ -103,7 +106,7 @@
 		return time.Time{}, false
 	}
 	latest := a.Target.Add(-time.Duration(finishFactor * float64(w.median)))
-	wait, shortest := scale(max(scale(w.median, hedgeFactor), w.quantile), slowdown), scale(w.quantile, slowdown)
+	wait, shortest := scale(max(scale(w.median, hedgeFactor), w.quantile), slowdown), scale(w.median, earliestFactor*slowdown)
 	if a.SentAt.Add(scale(w.median, slowdown)).After(a.Target) {
 		wait = scale(w.median, slowWaitFactor)
 		shortest = wait
@@ -185,10 +188,13 @@
 	return s.combined.takeToken(l.Capacity)
 }
 
-// refundHedgeToken returns the token of a hedge that was not sent.
-func (s *serviceState) refundHedgeToken() {
+// refundHedgeToken returns the token of a hedge that was not sent, or of a retry that was
+// to be sent like one.
+func (s *serviceState) refundHedgeToken(retry bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.hedges.refill(1)
 	s.combined.refill(1)
+	if !retry {
+		s.hedges.refill(1)
+	}
 }
--- a/internal/call/retrier/hedged_group.go
+++ b/internal/call/retrier/hedged_group.go
@@ -27,7 +27,7 @@
 func (g *attemptGroup[T]) handleSent(s sentReport) {
 	s.attempt.sentAt, s.attempt.slowdown, s.attempt.onSilent = s.at, s.slowdown, s.onSilent
 	if s.attempt.Hedge {
-		g.notifyHedge(HedgeSent)
+		g.notifyHedge(s.attempt, HedgeSent)
 		return
 	}
 	g.primary = s.attempt
@@ -48,7 +48,9 @@
 func (g *attemptGroup[T]) mayOverlap() bool { return g.call.Hedge && g.call.Idempotent }
 
 // acquireSilentRetry gives up the primary attempt as silent, which goes on, and reports
-// whether a retry may follow; if so, it takes a token and one unit of the budget.
+// whether a retry may follow; if so, it takes a token and one unit of the budget. After
+// the target, the retry must not wait for a slot, as a hedge: while slots are short, they
+// go to calls that can still be answered in time.
 func (g *attemptGroup[T]) acquireSilentRetry() bool {
 	if g.primary.onSilent != nil {
 		g.primary.onSilent()
@@ -73,7 +75,7 @@
 	}
 	g.hedged = true
 	if !g.service.takeHedgeToken(g.limit) {
-		g.notifyHedge(HedgeUnfunded)
+		g.notifyHedge(nil, HedgeUnfunded)
 		return false
 	}
 	g.extraAttempts++
@@ -85,13 +87,13 @@
 // releaseHedge returns what the hedge a used, which was not sent.
 func (g *attemptGroup[T]) releaseHedge(a *Attempt) {
 	g.extraAttempts--
-	g.service.refundHedgeToken()
+	g.service.refundHedgeToken(a.silentRetry)
 	if a.Number == g.lastNumber {
 		g.cancels[a.Number-1]()
 		g.cancels = g.cancels[:a.Number-1]
 		g.lastNumber--
 	}
-	g.notifyHedge(HedgeDenied)
+	g.notifyHedge(a, HedgeDenied)
 }
 
 // mayRetryNow reports whether a retry may follow the failure of a. With a Limit, an
@@ -108,20 +110,24 @@
 }
 
 // recordAnswer records the work of the route after the answer of a. If a is a hedge,
-// the work of the attempt that it overtook is at least the time that has passed.
+// the work of the attempt that it overtook is at least the time that has passed, unless
+// that attempt is silent and may never be answered.
 func (g *attemptGroup[T]) recordAnswer(a *Attempt) {
 	if g.limit == nil || a.sentAt.IsZero() {
 		return
 	}
-	if a.Hedge {
-		g.notifyHedge(HedgeWon)
-		a = g.primary
+	if a.Hedge && !a.silentRetry {
+		g.notifyHedge(a, HedgeWon)
+		if a = g.primary; a.IsSilent(time.Since(a.sentAt)) {
+			return
+		}
 	}
 	g.service.work.record(g.call.Route, time.Since(a.sentAt), a.slowdown)
 }
 
-func (g *attemptGroup[T]) notifyHedge(e HedgeEvent) {
-	if g.call.OnHedge != nil {
+// notifyHedge reports an event of the hedge a, unless a is the retry of a silent call.
+func (g *attemptGroup[T]) notifyHedge(a *Attempt, e HedgeEvent) {
+	if g.call.OnHedge != nil && (a == nil || !a.silentRetry) {
 		g.call.OnHedge(e)
 	}
 }
--- a/internal/call/retrier/retrier.go
+++ b/internal/call/retrier/retrier.go
@@ -63,10 +63,11 @@
 
 	silentAfter atomic.Int64 // Nanoseconds; 0 when unknown.
 
-	// Set by awaitAnswer after MarkSent.
-	sentAt   time.Time
-	slowdown float64
-	onSilent func()
+	// Used by awaitAnswer alone.
+	silentRetry bool      // Set for an attempt that was started because another one is silent.
+	sentAt      time.Time // Set after MarkSent, like the following fields.
+	slowdown    float64
+	onSilent    func()
 }
 
 // MarkSent reports that the attempt is now sent to a backend server with the reported
@@ -192,7 +193,7 @@
 			g.handleSent(s)
 		case <-g.silentTimer.C:
 			if g.acquireSilentRetry() {
-				g.startAttempt(ctx, false)
+				g.startAttempt(ctx, time.Now().After(g.call.Target)).silentRetry = true
 			}
 		case res := <-g.results:
 			g.running--
@@ -225,7 +226,7 @@
 }
 
 // startAttempt starts the next attempt in a goroutine of its own.
-func (g *attemptGroup[T]) startAttempt(ctx context.Context, hedge bool) {
+func (g *attemptGroup[T]) startAttempt(ctx context.Context, hedge bool) *Attempt {
 	g.lastNumber++
 	g.running++
 	ctx, cancel := context.WithCancel(ctx)
@@ -235,6 +236,7 @@
 		a.Hedge, a.Overlaps, a.onSent = hedge, g.running > 1, g.reportSent
 	}
 	go g.runAttempt(ctx, a)
+	return a
 }
 
 // runAttempt makes attempt a and delivers its result to awaitAnswer. An answer
