Account for what clients hold, and close those that hold most

Crowds of clients that misbehave took the memory of an instance (187 to 216 MB of 92 by headers of short fields, 116 by pipelined requests for metrics) or all of its descriptors, and ordinary requests were refused. Nothing counted what unfinished requests hold: net/http keeps 110 bytes and more for a field of 4, reads headers without bound on their number of fields, and serves each pipelined request whether or not the answers are read.

internal/instance/limiter wraps the connections of the three listeners and charges each with what it holds. Above 40% of the setting memory, and at 60% of the new setting descriptors less 200, the connections are closed that hold most and send slowest; never those with a request that was read or has a slot, unless their client takes no answer for 20 s. Requests with more than 500 fields get 431; a pipelined request is the last of its connection; operators get 16 answers at a time. A refusal with 503 is made before anything was done for the request.

--- a/internal/call/retrier/body.go
+++ b/internal/call/retrier/body.go
@@ -18,6 +18,7 @@
 // Source, so that a later attempt can read them again.
 type Body struct {
 	Source io.Reader
+	Hold   func(n int) // Called with the bytes by which the buffer has grown; nil means that they are not counted.
 
 	mu        sync.Mutex // Guards current and truncated; not held during a read from Source.
 	current   *bodyReader
@@ -93,7 +94,7 @@
 		return n, err
 	}
 	n, err := b.Source.Read(p[:min(len(p), remaining)])
-	b.buffered = append(b.buffered, p[:n]...)
+	b.buffer(p[:n])
 	r.offset += n
 	if err != nil {
 		b.sourceErr = err
@@ -105,6 +106,15 @@
 	return n, err
 }
 
+// buffer appends p to the buffered bytes.
+func (b *Body) buffer(p []byte) {
+	before := cap(b.buffered)
+	b.buffered = append(b.buffered, p...)
+	if grown := cap(b.buffered) - before; grown > 0 && b.Hold != nil {
+		b.Hold(grown)
+	}
+}
+
 // Close does nothing: the source stays open for later readers.
 func (r *bodyReader) Close() error { return nil }
 
--- a/internal/config/parser/check.go
+++ b/internal/config/parser/check.go
@@ -18,12 +18,13 @@
 
 // Limits of the values in settings, service files and bundles.
 const (
-	maxDeadline = 24 * time.Hour // The header Sardine-Deadline has the same limit.
-	maxFloorSum = 0.5            // Share of the slots that the floors of all ranks reserve at most.
-	minFill     = 0.25           // One of 4 slots; fill applies to backend servers with 4 slots or more.
-	minCapacity = 0.001          // A thousandth of a core.
-	maxCapacity = 1024.0         // More cores than a machine has.
-	minMemoryMB = 32             // The process itself takes about 20 MB.
+	maxDeadline    = 24 * time.Hour // The header Sardine-Deadline has the same limit.
+	maxFloorSum    = 0.5            // Share of the slots that the floors of all ranks reserve at most.
+	minFill        = 0.25           // One of 4 slots; fill applies to backend servers with 4 slots or more.
+	minCapacity    = 0.001          // A thousandth of a core.
+	maxCapacity    = 1024.0         // More cores than a machine has.
+	minDescriptors = 400            // Half of them are for files, the store and other instances.
+	minMemoryMB    = 32             // The process itself takes about 20 MB.
 
 	// The margin covers the 10 s for which a list of instances is used after it
 	// was read and 5 s for the clocks of callers. With a shorter margin, the
@@ -132,6 +133,7 @@
 	c.checkOneOf("dialect", s.Dialect, "native", "cymdeithas")
 	checkRange(c, "grace", s.Grace, Duration(time.Millisecond), Duration(time.Hour))
 	checkRange(c, "memory", s.Memory, minMemoryMB, math.MaxInt)
+	checkRange(c, "descriptors", s.Descriptors, minDescriptors, math.MaxInt)
 	checkRange(c, "capacity", s.Capacity, minCapacity, maxCapacity)
 	checkRange(c, "retry.ratio", s.Retry.Ratio, 0, 1)
 	checkRange(c, "retry.slack", s.Retry.Slack, 0, math.MaxInt)
--- a/internal/config/parser/settings.go
+++ b/internal/config/parser/settings.go
@@ -22,7 +22,10 @@
 	Dialect string           `toml:"dialect,omitempty"` // Formats of platform data and of call headers: native or cymdeithas; empty means native.
 	Grace   Duration         `toml:"grace,omitempty"`   // Time between SIGTERM and the forced end of the process; 0 means none.
 	Memory  int              `toml:"memory,omitempty"`  // Memory of the process in MB; 0 means no limit.
-	Retry   Retry            `toml:"retry,omitempty"`
+	// Descriptors is the most descriptors that the process may have open; 0 means no
+	// limit.
+	Descriptors int   `toml:"descriptors,omitempty"`
+	Retry       Retry `toml:"retry,omitempty"`
 	// Capacity is the processor time that the instance may use, relative to other
 	// instances. Those with more of it take on more work for the others; 0 means
 	// unknown.
--- a/internal/fleet/connector/connector.go
+++ b/internal/fleet/connector/connector.go
@@ -48,6 +48,7 @@
 	TLS             parser.TLS     // Paths of the key files; unused when Plain is set.
 	Plain           bool           // Whether sessions use TCP without TLS.
 	Audit           *auditor.Trail
+	WrapListener    func(net.Listener) net.Listener      // Wraps the listener; nil means that it is used as it is.
 	Handlers        map[StreamKind]Handler               // Handlers of incoming streams; a stream without one is closed.
 	OnPeerLost      func(peer netip.AddrPort, err error) // Called after a failed dial or when a session breaks. Must not block; may be nil.
 	ProtocolVersion uint32                               // Protocol version to announce and to require; 0 means the constant ProtocolVersion.
@@ -117,6 +118,9 @@
 	}
 	co.listener, co.bindErr = net.Listen("tcp", co.ListenAddr.String())
 	co.bindErr = errors.Wrap(co.bindErr, "linker")
+	if co.bindErr == nil && co.WrapListener != nil {
+		co.listener = co.WrapListener(co.listener)
+	}
 }
 
 func setDefault(d *time.Duration, v time.Duration) {
--- a/internal/instance/runner/active_call.go
+++ b/internal/instance/runner/active_call.go
@@ -13,6 +13,7 @@
 	"sardinelever.example/sardinelever/internal/call/responder"
 	"sardinelever.example/sardinelever/internal/call/retrier"
 	"sardinelever.example/sardinelever/internal/call/sender"
+	"sardinelever.example/sardinelever/internal/instance/limiter"
 	"sardinelever.example/sardinelever/internal/route/acquirer"
 	"sardinelever.example/sardinelever/internal/route/router"
 	"sardinelever.example/sardinelever/internal/route/withholder"
@@ -27,6 +28,7 @@
 	call       *classifier.Call
 	deadline   time.Time // Deadline of the call without the limit of a shutdown.
 	body       *retrier.Body
+	holding    *limiter.Request
 	hedge      bool // Two attempts may run at the same time.
 	trace      callTrace
 	fallback   atomic.Pointer[serverResponse] // Last response with a server error; it is used if no later attempt succeeds.
@@ -59,6 +61,7 @@
 	if err != nil {
 		return nil, err
 	}
+	a.holding.Protect()
 	a.countAttempt(attempt.Number, time.Since(start))
 	attempt.AddServer(slot.Server)
 	server := a.findServer(slot.Server)
--- a/internal/instance/runner/call_handler.go
+++ b/internal/instance/runner/call_handler.go
@@ -15,6 +15,7 @@
 	"sardinelever.example/sardinelever/internal/call/retrier"
 	"sardinelever.example/sardinelever/internal/call/sender"
 	"sardinelever.example/sardinelever/internal/config/parser"
+	"sardinelever.example/sardinelever/internal/instance/limiter"
 	"sardinelever.example/sardinelever/internal/operator/meter"
 	"sardinelever.example/sardinelever/internal/route/acquirer"
 	"sardinelever.example/sardinelever/internal/route/router"
@@ -161,10 +162,12 @@
 		return false
 	}
 	defer release()
-	body := &retrier.Body{Source: r.Body}
+	holding := limiter.RequestOf(r.Context())
+	defer holding.Finish()
+	body := &retrier.Body{Source: r.Body, Hold: holding.Hold}
 	callerConn := responder.WatchCallerConn(ctx, w, body)
 	defer callerConn.Finish()
-	active := &activeCall{callHandler: h, callerConn: callerConn, w: w, r: r, call: c, deadline: deadline, body: body}
+	active := &activeCall{callHandler: h, callerConn: callerConn, w: w, r: r, call: c, deadline: deadline, body: body, holding: holding}
 	response, err := h.retrier.Do(ctx, h.newRetryCall(active))
 	callerConn.PrepareResponse()
 	if fallback := active.fallback.Load(); fallback != nil {
--- a/internal/instance/runner/components.go
+++ b/internal/instance/runner/components.go
@@ -18,6 +18,7 @@
 	"sardinelever.example/sardinelever/internal/fleet/distributor"
 	"sardinelever.example/sardinelever/internal/fleet/registrar"
 	"sardinelever.example/sardinelever/internal/instance/detector"
+	"sardinelever.example/sardinelever/internal/instance/limiter"
 	"sardinelever.example/sardinelever/internal/operator/auditor"
 	"sardinelever.example/sardinelever/internal/operator/meter"
 	"sardinelever.example/sardinelever/internal/platform/reader"
@@ -53,6 +54,7 @@
 	members        registrar.Registrar
 	distributor    distributor.Distributor
 	allocator      allocator.Allocator
+	limiter        limiter.Limiter
 	slotClient     acquirer.Client
 	prober         prober.Prober
 	deduper        deduper.Deduper
@@ -71,6 +73,7 @@
 	c.withholder.Log = l
 	meter.RegisterPausedServers(c.metricsRegistry, c.pausedServers)
 	c.pauseDetector.OnPause = c.dropStaleData
+	c.initLimiter()
 	c.initPlatform()
 	c.initFleet()
 	c.initRouting()
@@ -96,7 +99,7 @@
 	s := c.settings
 	c.connector = connector.Connector{
 		Name: s.Name, Incarnation: c.incarnation, Zone: s.Zone, Region: s.Region, Capacity: s.Capacity, ListenAddr: s.Peers,
-		TLS: s.TLS, Plain: s.Plain, Audit: &c.audit, OnPeerLost: c.members.HandleLostSession,
+		TLS: s.TLS, Plain: s.Plain, Audit: &c.audit, OnPeerLost: c.members.HandleLostSession, WrapListener: c.limitPeers,
 		Handlers: map[connector.StreamKind]connector.Handler{
 			connector.ControlStream: &c.members,
 			connector.GrantStream:   connector.HandlerFunc(c.serveGrantStream),
@@ -166,7 +169,7 @@
 // backgroundTasks returns the functions that run until the instance stops.
 func (c *components) backgroundTasks() []func(context.Context) error {
 	common := []func(context.Context) error{
-		c.pauseDetector.Run, c.connector.Run, c.members.Run, c.distributor.Run, c.allocator.Run, c.slotClient.Run, c.maintainRoutingTable, c.applyStatements,
+		c.pauseDetector.Run, c.connector.Run, c.members.Run, c.distributor.Run, c.allocator.Run, c.slotClient.Run, c.maintainRoutingTable, c.applyStatements, c.limiter.Run,
 	}
 	if c.platform != nil {
 		return append(common, c.recordWatcher.Run)
--- a/internal/instance/runner/instance.go
+++ b/internal/instance/runner/instance.go
@@ -15,6 +15,7 @@
 
 	"sardinelever.example/sardinelever/internal/call/translator"
 	"sardinelever.example/sardinelever/internal/config/parser"
+	"sardinelever.example/sardinelever/internal/instance/limiter"
 	"sardinelever.example/sardinelever/internal/platform/watcher"
 )
 
@@ -134,20 +135,21 @@
 	i.callersAddr.Store(&addr)
 	s := &httpServers{callers: newHTTPServer(&c.handler), operator: newHTTPServer(c.newReporter(i.Ready).Handler()), callersListener: l}
 	s.callers.ConnState = s.callerConns.setState
+	c.limitServers(s)
 	if i.Settings.Operator.IsValid() {
 		operatorListener, err := net.Listen("tcp", i.Settings.Operator.String())
 		if err != nil {
 			_ = l.Close()
 			return nil, errors.Wrap(err, "operators' listener")
 		}
-		g.Go(serveFunc(s.operator, operatorListener))
+		g.Go(serveFunc(s.operator, c.limiter.Listen(operatorListener, limiter.Operators)))
 	}
 	if err := c.connector.Bind(); err != nil {
 		_ = l.Close()
 		_ = s.operator.Close()
 		return nil, errors.Wrap(err, "peers' listener")
 	}
-	g.Go(func() error { return i.serveCallers(c, s.callers, l) })
+	g.Go(func() error { return i.serveCallers(c, s.callers, c.limiter.Listen(l, limiter.Callers)) })
 	return s, nil
 }
 
--- a/internal/instance/runner/status.go
+++ b/internal/instance/runner/status.go
@@ -18,7 +18,7 @@
 func (c *components) newReporter(ready func() bool) *reporter.Reporter {
 	return &reporter.Reporter{
 		IsReady:         ready,
-		StatusSections:  []reporter.StatusSection{configSection{c}, fleetSection{c}, poolSection{c}, trafficSection{c}},
+		StatusSections:  []reporter.StatusSection{configSection{c}, fleetSection{c}, poolSection{c}, trafficSection{c}, limitsSection{c}},
 		Explainer:       explainer{c},
 		Audit:           &c.audit,
 		MetricsRegistry: c.metricsRegistry,
