Read bodies before a slot is asked for, and answers ahead of their callers

Callers that send or read slowly occupied the slots of a service: with one slot, five callers that stopped one byte short had an ordinary call refused (503 late). The slot was asked for before the body was read, and released after the caller had read the answer.

With the setting memory, the first 64 KiB of a body (of unknown length: what comes within 0.1 s) are read before a slot is asked for; the same bytes were kept for a further attempt before. A body that stops short is refused with 400 or 504 and has not run. An answer of up to 16 KiB is read whole, one of up to 256 KiB into a buffer, and the slot released when the server has handed it over; then the server is held back. All of it is charged to the caller's connection. A body of unknown length over limits.body is cut off. Connections are closed from 90% of the budget on, to leave room for new callers.

--- a/cmd/sardinelever/run.go
+++ b/cmd/sardinelever/run.go
@@ -22,8 +22,9 @@
 
 // memoryLimitFraction is the part of the setting memory that becomes the memory limit
 // of the Go runtime, above which it collects garbage continuously. The rest is for
-// kernel buffers and stacks.
-const memoryLimitFraction = 0.7
+// kernel buffers, for the program itself, about 9 MB, and for garbage that is collected
+// late. Clients may hold 40% (package limiter), so an ordinary load does not reach it.
+const memoryLimitFraction = 0.65
 
 // logFlushTimeout is the longest time that the process waits at its end for its last log
 // lines to be written. It is within the time that a shutdown leaves for the exit.
--- a/internal/call/retrier/body.go
+++ b/internal/call/retrier/body.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 
@@ -106,13 +107,61 @@
 	return n, err
 }
 
+// minReadBytes is the least room for a read by ReadAhead.
+const minReadBytes = 512
+
+// ReadAhead reads from Source until n bytes are buffered, Source has ended, or stop is
+// true after a read. It returns the error with which Source ended, nil for io.EOF. It may
+// be called before the first reader is used.
+func (b *Body) ReadAhead(n int, stop *atomic.Bool) error {
+	for !stop.Load() {
+		if done, err := b.readMore(min(n, MaxReplayBytes)); done {
+			return err
+		}
+	}
+	return nil
+}
+
+// readMore reads once and reports whether n bytes are buffered or Source has ended.
+func (b *Body) readMore(n int) (done bool, err error) {
+	b.readMu.Lock()
+	defer b.readMu.Unlock()
+	used := len(b.buffered)
+	switch {
+	case b.sourceErr == io.EOF:
+		return true, nil
+	case b.sourceErr != nil || used >= n:
+		return true, b.sourceErr
+	}
+	if room := cap(b.buffered) - used; room < min(minReadBytes, n-used) {
+		before := cap(b.buffered)
+		b.buffered = slices.Grow(b.buffered, min(n, max(firstReadBytes, readGrowth*before))-used)
+		b.hold(cap(b.buffered) - before)
+	}
+	got, err := b.Source.Read(b.buffered[used:min(cap(b.buffered), MaxReplayBytes)])
+	b.buffered = b.buffered[:used+got]
+	if err != nil {
+		b.sourceErr = err
+		b.ended.Store(err == io.EOF)
+	}
+	return false, nil
+}
+
+// The room for a longer body begins with firstReadBytes and grows by readGrowth, so that
+// little is left to the garbage collector.
+const firstReadBytes, readGrowth = 4 << 10, 4
+
+func (b *Body) hold(n int) {
+	if n > 0 && b.Hold != nil {
+		b.Hold(n)
+	}
+}
+
 // buffer appends p to the buffered bytes.
 func (b *Body) buffer(p []byte) {
 	before := cap(b.buffered)
 	b.buffered = append(b.buffered, p...)
-	if grown := cap(b.buffered) - before; grown > 0 && b.Hold != nil {
-		b.Hold(grown)
-	}
+	b.hold(cap(b.buffered) - before)
 }
 
 // Close does nothing: the source stays open for later readers.
--- a/internal/config/parser/check.go
+++ b/internal/config/parser/check.go
@@ -23,7 +23,7 @@
 	minFill        = 0.25           // One of 4 slots; fill applies to backend servers with 4 slots or more.
 	minCapacity    = 0.001          // A thousandth of a core.
 	maxCapacity    = 1024.0         // More cores than a machine has.
-	minDescriptors = 400            // Half of them are for files, the store and other instances.
+	minDescriptors = 64             // An idle instance has 14 open.
 	minMemoryMB    = 32             // The process itself takes about 20 MB.
 
 	// The margin covers the 10 s for which a list of instances is used after it
--- a/internal/instance/limiter/conn.go
+++ b/internal/instance/limiter/conn.go
@@ -94,7 +94,7 @@
 		c.limiter.held.Add(n)
 	}
 	c.mu.Unlock()
-	if n > 0 && c.limiter.isOver(1) {
+	if n > 0 && c.limiter.isOver(closeFraction) {
 		select {
 		case c.limiter.wake <- struct{}{}:
 		default:
@@ -130,7 +130,7 @@
 		c.closeFor(Fields)
 		return 0, io.EOF
 	}
-	if c.limiter.isOver(1/reliefFraction) && c.held.Load() > smallBytes && c.protected.Load() == 0 {
+	if c.limiter.isOver(1) && c.held.Load() > smallBytes && c.protected.Load() == 0 {
 		c.closeFor(Memory)
 		return 0, io.EOF
 	}
@@ -207,7 +207,10 @@
 	c.hasRead.Store(false)
 	c.received.Store(0)
 	c.since.Store(c.limiter.now())
-	c.head.restart()
+	if c.head.isHTTP2 { // Handlers of requests that were cancelled may still hold their parts.
+		return
+	}
+	c.head = headCounter{isOpen: true}
 	c.setHeld(connBytes)
 }
 
@@ -219,10 +222,6 @@
 	lineBytes int // Length of the line so far, without CR.
 }
 
-func (h *headCounter) restart() {
-	*h = headCounter{isOpen: !h.isHTTP2, isHTTP2: h.isHTTP2}
-}
-
 // count adds the bytes of p up to the end of the header and returns the number of lines
 // that ended in them.
 func (h *headCounter) count(p []byte) int {
--- a/internal/instance/limiter/eviction.go
+++ b/internal/instance/limiter/eviction.go
@@ -16,7 +16,7 @@
 
 // relieve closes connections until the budget is kept.
 func (l *Limiter) relieve() {
-	if !l.isOver(1) {
+	if !l.isOver(closeFraction) {
 		return
 	}
 	excess := l.held.Load() - int64(reliefFraction*float64(l.Budget()))
@@ -68,7 +68,7 @@
 // closeUnread closes the connections whose clients take no answer.
 func (l *Limiter) closeUnread() {
 	timeout := unreadTimeout
-	if l.isOver(reliefFraction) {
+	if l.isOver(closeFraction) {
 		timeout = unreadTimeoutFull
 	}
 	for _, c := range l.unread(timeout) {
--- a/internal/instance/limiter/limiter.go
+++ b/internal/instance/limiter/limiter.go
@@ -41,12 +41,14 @@
 
 const (
 	// budgetFraction is the part of the memory of the process that clients may hold. The
-	// Go runtime collects garbage without pause above 70%; 30 points are left for
+	// Go runtime collects garbage without pause above 65%; 25 points are left for
 	// everything else that the process holds and for garbage.
 	budgetFraction = 0.4
-	// reliefFraction is the part of the budget that is in use after connections were closed.
-	reliefFraction = 0.85
-	// reservedDescriptors are for files, for the store and for links between instances.
+	// Connections are closed when more than closeFraction of the budget is in use, until
+	// reliefFraction is. The rest of the budget is room for new callers.
+	closeFraction, reliefFraction = 0.9, 0.8
+	// reservedDescriptors are for files, for the store and for links between instances, or
+	// half of the descriptors if that is less.
 	reservedDescriptors = 200
 	// connBytes is what a connection without a request holds: two buffers of 4 KiB, the
 	// stack of its goroutine and the state of net/http.
@@ -117,7 +119,7 @@
 	if l.Descriptors == 0 {
 		return 0
 	}
-	return max(1, int(connShares[k]*float64(l.Descriptors-reservedDescriptors)))
+	return max(1, int(connShares[k]*float64(l.Descriptors-min(reservedDescriptors, l.Descriptors/2))))
 }
 
 // isOver reports whether connections hold more than part of the budget.
--- a/internal/instance/runner/bench_test.go
+++ b/internal/instance/runner/bench_test.go
@@ -12,9 +12,12 @@
 // instance and its additional connection.
 func BenchmarkCall(b *testing.B) {
 	d := startDeployment(b, 1)
+	limited := &deployment{t: b, slots: 50, memory: 184}
+	limited.start(1)
 	for _, bc := range []struct{ name, url string }{
 		{"direct", "http://" + d.firstServer.String()},
 		{"instance", d.url},
+		{"limited instance", limited.url}, // With an account of memory.
 	} {
 		b.Run(bc.name, func(b *testing.B) {
 			for b.Loop() {
--- a/internal/instance/runner/call_handler.go
+++ b/internal/instance/runner/call_handler.go
@@ -156,7 +156,7 @@
 	defer releaseEnd()
 	release, ok := h.bodyLimiter.Acquire(c.Service.Name, c.Service.Queue.Bytes, bodyMemoryBytes(r))
 	if !ok {
-		report := responder.ErrorReport{StatusCode: http.StatusServiceUnavailable, Reason: "memory", RetryAfter: time.Second}
+		report := memoryReport()
 		h.responder.WriteErrorReport(w, report)
 		h.recordCall(&activeCall{callHandler: h, call: c}, sender.Rejected.String(), &report, start)
 		return false
@@ -164,10 +164,13 @@
 	defer release()
 	holding := limiter.RequestOf(r.Context())
 	defer holding.Finish()
-	body := &retrier.Body{Source: r.Body, Hold: holding.Hold}
+	body := &retrier.Body{Source: h.bodySource(r), Hold: holding.Hold}
 	callerConn := responder.WatchCallerConn(ctx, w, body)
 	defer callerConn.Finish()
 	active := &activeCall{callHandler: h, callerConn: callerConn, w: w, r: r, call: c, deadline: deadline, body: body, holding: holding}
+	if active.refuseEarly(ctx, start) {
+		return false
+	}
 	response, err := h.retrier.Do(ctx, h.newRetryCall(active))
 	callerConn.PrepareResponse()
 	if fallback := active.fallback.Load(); fallback != nil {
@@ -194,6 +197,7 @@
 		}
 	}()
 	failed := response.resp.StatusCode >= http.StatusInternalServerError
+	active.bufferAnswer(response, cancel)
 	h.responder.CopyResponse(w, r, response.resp)
 	if !failed {
 		outcome = answeredOutcome
--- a/internal/instance/runner/failure_test.go
+++ b/internal/instance/runner/failure_test.go
@@ -39,11 +39,21 @@
 	arrived        chan bool // Receives a value for each call to /hold or /note.
 	cancelled      chan bool // Receives a value for each call to /hold that was cancelled.
 	platform       publisher.Platform
-	idempotencyKey string // Idempotency key of the calls; empty for none.
+	idempotencyKey string    // Idempotency key of the calls; empty for none.
+	slots          int       // Slots of each backend server.
+	memory         int       // Setting of the instance.
+	readBody       chan bool // Closed when calls to /unread may end.
 }
 
 func startDeployment(t testing.TB, servers int) *deployment {
-	d := &deployment{t: t, arrived: make(chan bool, 100), cancelled: make(chan bool, 100)}
+	d := &deployment{t: t, arrived: make(chan bool, 100), cancelled: make(chan bool, 100), slots: 50}
+	d.start(servers)
+	return d
+}
+
+// start starts the backend servers and the instance.
+func (d *deployment) start(servers int) {
+	t := d.t
 	entries := make([]reader.Entry, 0, servers)
 	for i := range servers {
 		s := httptest.NewServer(d)
@@ -62,20 +72,19 @@
 	}
 	d.platform.SetList(entries)
 	text, err := parser.FormatBundle(&parser.Bundle{Version: 1, Services: []parser.Service{{
-		Name: "s", Slots: 50, Routes: []parser.Route{{Path: "/", Methods: []string{http.MethodGet, http.MethodHead}, Idempotent: true}},
+		Name: "s", Slots: d.slots, Routes: []parser.Route{{Path: "/", Methods: []string{http.MethodGet, http.MethodHead}, Idempotent: true}},
 	}}})
 	if err != nil {
 		t.Fatal(err)
 	}
 	d.platform.PublishBundle(text)
 	d.startInstance()
-	return d
 }
 
 func (d *deployment) startInstance() {
 	p := httptest.NewServer(&d.platform)
 	ctx, cancel := context.WithCancel(context.Background())
-	settings := &parser.Settings{Name: "one", Zone: "a", Platform: p.URL, Notice: parser.Duration(time.Millisecond), Plain: true}
+	settings := &parser.Settings{Name: "one", Zone: "a", Platform: p.URL, Notice: parser.Duration(time.Millisecond), Plain: true, Memory: d.memory}
 	if err := launcher.ReservePorts(settings); err != nil {
 		d.t.Fatal(err)
 	}
@@ -121,6 +130,15 @@
 		d.arrived <- true
 		<-r.Context().Done()
 		d.cancelled <- true
+	case "/stream":
+		c := http.NewResponseController(w)
+		_ = c.EnableFullDuplex()
+		_, _ = io.WriteString(w, "begun")
+		_ = c.Flush()
+		_, _ = io.Copy(w, r.Body)
+	case "/unread":
+		d.arrived <- true
+		<-d.readBody
 	case "/note":
 		d.arrived <- true
 		_, _ = io.WriteString(w, "noted")
--- a/internal/instance/runner/limits.go
+++ b/internal/instance/runner/limits.go
@@ -59,9 +59,12 @@
 type limitsSection struct{ *components }
 
 // WriteStatus writes what the connections of callers and operators hold and how many were
-// closed or refused.
+// closed or refused, if there are limits.
 func (s limitsSection) WriteStatus(w io.Writer) {
 	l := &s.limiter
+	if l.Memory == 0 && l.Descriptors == 0 {
+		return
+	}
 	_, _ = fmt.Fprintf(w, "limits\theld=%d\tbudget=%d\tconns=%d", l.Held(), l.Budget(), l.ConnCount())
 	for r, name := range limiter.Reasons {
 		_, _ = fmt.Fprintf(w, "\t%s=%d", name, l.ClosedCount(limiter.Reason(r)))
