--- a/internal/config/parser/check.go
+++ b/internal/config/parser/check.go
@@ -18,14 +18,15 @@
 
 // Limits of the values in settings, service files and bundles.
 const (
-	maxDeadline   = 24 * time.Hour // The header Sardine-Deadline has the same limit.
-	maxFloorSum   = 0.5            // Share of the slots that the floors of all ranks reserve at most.
-	minFill       = 0.25           // One of 4 slots; fill applies to backend servers with 4 slots or more.
-	maxColdFactor = 1e3
-	maxColdRate   = 1e6    // Calls per second.
-	minCapacity   = 0.001  // A thousandth of a core.
-	maxCapacity   = 1024.0 // More cores than a machine has.
-	minMemoryMB   = 32     // The process itself takes about 20 MB.
+	maxDeadline    = 24 * time.Hour // The header Sardine-Deadline has the same limit.
+	maxFloorSum    = 0.5            // Share of the slots that the floors of all ranks reserve at most.
+	minFill        = 0.25           // One of 4 slots; fill applies to backend servers with 4 slots or more.
+	maxColdFactor  = 1e3
+	maxColdRate    = 1e6    // Calls per second.
+	minCapacity    = 0.001  // A thousandth of a core.
+	maxCapacity    = 1024.0 // More cores than a machine has.
+	minDescriptors = 64     // An idle instance has 14 open.
+	minMemoryMB    = 32     // The process itself takes about 20 MB.
 
 	minCollect = 10 // Below that, collections take a large share of the processor time.
 	maxCollect = 1000
@@ -138,6 +139,7 @@
 	checkRange(c, "grace", s.Grace, Duration(time.Millisecond), Duration(time.Hour))
 	checkRange(c, "memory", s.Memory, minMemoryMB, math.MaxInt)
 	checkRange(c, "collect", s.Collect, minCollect, maxCollect)
+	checkRange(c, "descriptors", s.Descriptors, minDescriptors, math.MaxInt)
 	checkRange(c, "capacity", s.Capacity, minCapacity, maxCapacity)
 	checkRange(c, "retry.ratio", s.Retry.Ratio, 0, 1)
 	checkRange(c, "retry.slack", s.Retry.Slack, 0, math.MaxInt)
--- a/internal/config/parser/settings.go
+++ b/internal/config/parser/settings.go
@@ -24,9 +24,12 @@
 	Memory  int              `toml:"memory,omitempty"`  // Memory of the process in MB; 0 means no limit.
 	Collect int              `toml:"collect,omitempty"` // Growth of the heap between garbage collections in percent; 0 means that of the Go runtime.
 	Terms   []string         `toml:"terms,omitempty"`   // What the platform states to be in force, in its own words; only the adapter of the platform reads it.
-	Retry   Retry            `toml:"retry,omitempty"`
-	Zones   Zones            `toml:"zones,omitempty"`
-	Cold    ColdBound        `toml:"cold,omitempty"`
+	// Descriptors is the most descriptors that the process may have open; 0 means no
+	// limit.
+	Descriptors int       `toml:"descriptors,omitempty"`
+	Retry       Retry     `toml:"retry,omitempty"`
+	Zones       Zones     `toml:"zones,omitempty"`
+	Cold        ColdBound `toml:"cold,omitempty"`
 	// Capacity is the processor time that the instance may use, relative to other
 	// instances. Those with more of it take on more work for the others; 0 means
 	// unknown.
--- a/internal/instance/runner/call_handler.go
+++ b/internal/instance/runner/call_handler.go
@@ -15,6 +15,7 @@
 	"sardinelever.example/sardinelever/internal/call/retrier"
 	"sardinelever.example/sardinelever/internal/call/sender"
 	"sardinelever.example/sardinelever/internal/config/parser"
+	"sardinelever.example/sardinelever/internal/instance/limiter"
 	"sardinelever.example/sardinelever/internal/operator/meter"
 	"sardinelever.example/sardinelever/internal/route/acquirer"
 	"sardinelever.example/sardinelever/internal/route/router"
@@ -155,16 +156,21 @@
 	defer releaseEnd()
 	release, ok := h.bodyLimiter.Acquire(c.Service.Name, c.Service.Queue.Bytes, bodyMemoryBytes(r))
 	if !ok {
-		report := responder.ErrorReport{StatusCode: http.StatusServiceUnavailable, Reason: "memory", RetryAfter: time.Second}
+		report := memoryReport()
 		h.responder.WriteErrorReport(w, report)
 		h.recordCall(&activeCall{callHandler: h, call: c}, sender.Rejected.String(), &report, start)
 		return false
 	}
 	defer release()
-	body := &retrier.Body{Source: r.Body}
+	holding := limiter.RequestOf(r.Context())
+	defer holding.Finish()
+	body := &retrier.Body{Source: h.bodySource(r), Hold: holding.Hold}
 	callerConn := responder.WatchCallerConn(ctx, w, body)
 	defer callerConn.Finish()
-	active := &activeCall{callHandler: h, callerConn: callerConn, w: w, r: r, call: c, deadline: deadline, body: body}
+	active := &activeCall{callHandler: h, callerConn: callerConn, w: w, r: r, call: c, deadline: deadline, body: body, holding: holding}
+	if active.refuseEarly(ctx, start) {
+		return false
+	}
 	response, err := h.retrier.Do(ctx, h.newRetryCall(active))
 	callerConn.PrepareResponse()
 	if fallback := active.fallback.take(); fallback != nil {
@@ -191,6 +197,7 @@
 		}
 	}()
 	failed := response.resp.StatusCode >= http.StatusInternalServerError
+	active.bufferAnswer(response, cancel)
 	h.responder.CopyResponse(w, r, response.resp)
 	if !failed {
 		outcome = answeredOutcome
