--- a/internal/route/allocator/admission.go
+++ b/internal/route/allocator/admission.go
@@ -145,10 +145,15 @@
 }
 
 // retryDelay returns the time after which the requests that wait before a retry of
-// the refused req have got their slots.
+// the refused req have got their slots. On routes without a predictable wait, where
+// the newest go first under overload, a retry does not wait for all of these, and a
+// measured rate made callers come back too late for their targets.
 func (p *Pool) retryDelay(now time.Time, req SlotRequest) time.Duration {
-	route := p.queues[req.Rank].routeOf(req.Route)
-	return max(p.predictWait(now, route, p.expectedWork(req), route.waiting), p.slowdownAdjustedWait(now, req.Rank))
+	route, estimate := p.queues[req.Rank].routeOf(req.Route), p.slowdownAdjustedWait(now, req.Rank)
+	if !route.predictable() {
+		return estimate
+	}
+	return max(p.predictWait(now, route, p.expectedWork(req), route.waiting), estimate)
 }
 
 // missesDeadline reports whether the call of req cannot end before its deadline
