Count refusals by route and compare predicted with actual waits

Operators saw refusals by rank only, and nothing of how well the waits are predicted. Homes now count sardinelever_slot_refusals_total by service, route and reason, observe both waits in sardinelever_queue_seconds, and write an audit entry when a route begins or ceases to be refused by its predicted wait.

--- a/internal/instance/runner/components.go
+++ b/internal/instance/runner/components.go
@@ -127,7 +127,7 @@
 
 func (c *components) initRouting() {
 	s := c.settings
-	c.allocator = allocator.Allocator{RoutingTable: &c.routingTable, Audit: &c.audit, Withholder: &c.withholder}
+	c.allocator = allocator.Allocator{RoutingTable: &c.routingTable, Audit: &c.audit, Withholder: &c.withholder, Observer: meter.RegisterWaits(c.metricsRegistry)}
 	if c.platform != nil {
 		c.allocator.StartProbe = c.startProbe
 	}
--- a/internal/route/allocator/admission.go
+++ b/internal/route/allocator/admission.go
@@ -123,8 +123,12 @@
 		for _, route := range q.routes {
 			route.ahead = 0
 		}
+		p.endShedding(now, q)
 		for _, qr := range p.serviceOrder(now, q) {
 			if p.shouldRefuse(now, qr, qr.route.ahead) {
+				if qr.route.predictable() {
+					p.recordShedding(now, qr.route, qr.Route)
+				}
 				p.refuseQueued(now, qr, ReasonLate)
 			} else {
 				qr.route.ahead++
--- a/internal/route/allocator/allocator.go
+++ b/internal/route/allocator/allocator.go
@@ -28,6 +28,7 @@
 	// then shows these servers as leaving. It also says which servers want no probes
 	// of this instance. nil ignores the reports and allows all probes.
 	Withholder *withholder.Withholder
+	Observer   Observer // nil means that nothing is observed.
 
 	mu    sync.RWMutex
 	pools map[PoolKey]*poolWorker
@@ -166,7 +167,7 @@
 		al.pools = make(map[PoolKey]*poolWorker)
 	}
 	w := &poolWorker{
-		pool: Pool{Key: k, Audit: al.Audit}, routingTable: al.RoutingTable, startProbe: al.StartProbe, withholder: al.Withholder,
+		pool: Pool{Key: k, Audit: al.Audit, Observer: al.Observer}, routingTable: al.RoutingTable, startProbe: al.StartProbe, withholder: al.Withholder,
 		commands: make(chan *command, maxPendingCommands), quit: make(chan struct{}),
 	}
 	if al.StartProbe != nil {
--- a/internal/route/allocator/dispatch.go
+++ b/internal/route/allocator/dispatch.go
@@ -122,6 +122,7 @@
 		if slowdown, age, ok := s.Slowdown(now); ok {
 			reply.Slowdown, reply.SlowdownAge = slowdown, age
 		}
+		p.observeWait(now, qr)
 		qr.Owner.ReceiveReply(reply)
 		return true
 	}
@@ -246,6 +247,9 @@
 // refuseRequest refuses req with a reason and a suggested retry delay.
 func (p *Pool) refuseRequest(now time.Time, req SlotRequest, reason string) {
 	p.queues[req.Rank].countRefusal(reason)
+	if p.Observer != nil {
+		p.Observer.ObserveRefusal(p.Key.Service, req.Route, reason)
+	}
 	after := max(p.queueWait(now, req.Rank), minRetryAfter)
 	if p.usesFreshReports() {
 		after = max(p.retryDelay(now, req), minRetryAfter)
--- a/internal/route/allocator/pool.go
+++ b/internal/route/allocator/pool.go
@@ -27,6 +27,8 @@
 	// that this instance may not probe is still granted to others.
 	MayProbe func(time.Time, *tracker.Server) bool
 
+	Observer Observer // nil means that nothing is observed.
+
 	servers         tracker.Pool
 	config          parser.Service
 	appliedTable    *router.RoutingTable // Table that was applied last.
@@ -195,9 +197,11 @@
 		p.refuseQueued(now, qr, ReasonLate)
 		return
 	case p.lacksProspect(now, qr):
+		p.recordShedding(now, qr.route, qr.Route)
 		p.refuseQueued(now, qr, ReasonLate)
 		return
 	}
+	p.recordPrediction(now, qr)
 	if !p.probePending(now) {
 		qr.notifyQueued()
 	}
--- a/internal/route/allocator/queue.go
+++ b/internal/route/allocator/queue.go
@@ -8,9 +8,10 @@
 // queuedRequest is a slot request in a queue.
 type queuedRequest struct {
 	SlotRequest
-	queuedAt time.Time
-	route    *routeQueue // Queue of its route and rank.
-	notified bool        // The owner was told that the request waits.
+	queuedAt  time.Time
+	route     *routeQueue   // Queue of its route and rank.
+	notified  bool          // The owner was told that the request waits.
+	predicted time.Duration // Wait that was predicted on arrival; only set for the Observer.
 
 	// Set by serviceOrder.
 	latestStart  time.Time // Time by which the call has to start to meet its target.
--- a/internal/route/allocator/route_queue.go
+++ b/internal/route/allocator/route_queue.go
@@ -10,6 +10,8 @@
 	drain   drainMeter    // Requests that left the queue by a grant here or elsewhere.
 	credit  float64       // Slot time that the route may use under its floor, in nanoseconds.
 
+	shedAt time.Time // Time of the last refusal by the predicted wait; zero when there was none lately.
+
 	// Set by serviceOrder.
 	orderRound uint64        // Value of Pool.orderRound for which the others were set.
 	work       time.Duration // Expected work of a call.
