--- a/internal/instance/runner/components.go
+++ b/internal/instance/runner/components.go
@@ -134,7 +134,10 @@
 
 func (c *components) initRouting() {
 	s := c.settings
-	c.allocator = allocator.Allocator{RoutingTable: &c.routingTable, Audit: &c.audit, Withholder: &c.withholder, ColdLimits: allocator.ColdLimits{Bound: s.Cold, FleetShare: c.fleetShare}}
+	c.allocator = allocator.Allocator{
+		RoutingTable: &c.routingTable, Audit: &c.audit, Withholder: &c.withholder, Observer: meter.RegisterWaits(c.metricsRegistry),
+		ColdLimits: allocator.ColdLimits{Bound: s.Cold, FleetShare: c.fleetShare},
+	}
 	if c.platform != nil {
 		c.allocator.StartProbe = c.startProbe
 	}
--- a/internal/route/allocator/admission.go
+++ b/internal/route/allocator/admission.go
@@ -123,8 +123,12 @@
 		for _, route := range q.routes {
 			route.ahead = 0
 		}
+		p.endShedding(now, q)
 		for _, qr := range p.serviceOrder(now, q) {
 			if p.shouldRefuse(now, qr, qr.route.ahead) || p.missesTargetCold(now, qr, 1) {
+				if qr.route.predictable() {
+					p.recordShedding(now, qr.route, qr.Route)
+				}
 				p.refuseQueued(now, qr, ReasonLate)
 			} else {
 				qr.route.ahead++
@@ -145,13 +149,15 @@
 }
 
 // retryDelay returns the time after which the requests that wait before a retry of
-// the refused req have got their slots.
+// the refused req have got their slots. On routes without a predictable wait, where
+// the newest go first under overload, a retry does not wait for all of these, and a
+// measured rate made callers come back too late for their targets.
 func (p *Pool) retryDelay(now time.Time, req SlotRequest) time.Duration {
-	if !p.predictsWaits() {
-		return p.slowdownAdjustedWait(now, req.Rank)
+	route, estimate := p.queues[req.Rank].routeOf(req.Route), p.slowdownAdjustedWait(now, req.Rank)
+	if !route.predictable() {
+		return estimate
 	}
-	route := p.queues[req.Rank].routeOf(req.Route)
-	return max(p.predictWait(now, route, p.expectedWork(req), route.waiting), p.slowdownAdjustedWait(now, req.Rank))
+	return max(p.predictWait(now, route, p.expectedWork(req), route.waiting), estimate)
 }
 
 // missesDeadline reports whether the call of req cannot end before its deadline
--- a/internal/route/allocator/dispatch.go
+++ b/internal/route/allocator/dispatch.go
@@ -119,6 +119,7 @@
 		p.grantSlot(now, s, qr.SlotRequest)
 		p.updateCredits(r)
 		p.queues[r].creditRoutes(now, qr.Route, float64(p.expectedWork(qr.SlotRequest)), p.expectedHoldTime(r))
+		p.observeWait(now, qr)
 		p.offerSlot(now, qr, s)
 		return true
 	}
@@ -256,6 +257,9 @@
 // refuseRequest refuses req with a reason and a suggested retry delay.
 func (p *Pool) refuseRequest(now time.Time, req SlotRequest, reason string) {
 	p.queues[req.Rank].countRefusal(reason)
+	if p.Observer != nil {
+		p.Observer.ObserveRefusal(p.Key.Service, req.Route, reason)
+	}
 	after := max(p.queueWait(now, req.Rank), minRetryAfter)
 	if p.usesFreshReports() {
 		after = max(p.retryDelay(now, req), minRetryAfter)
--- a/internal/route/allocator/pool.go
+++ b/internal/route/allocator/pool.go
@@ -31,6 +31,8 @@
 	ReportLoad func() bool
 	ColdLimits ColdLimits // Limits the calls to cold servers.
 
+	Observer Observer // nil means that nothing is observed.
+
 	servers         tracker.Pool
 	config          parser.Service
 	appliedTable    *router.RoutingTable // Table that was applied last.
@@ -209,9 +211,11 @@
 		p.refuseQueued(now, qr, ReasonLate)
 		return
 	case p.lacksProspect(now, qr):
+		p.recordShedding(now, qr.route, qr.Route)
 		p.refuseQueued(now, qr, ReasonLate)
 		return
 	}
+	p.recordPrediction(now, qr)
 	if !p.probePending(now) {
 		p.notifyQueued(now, qr)
 	}
