Send no requests after a start before the records are confirmed

An instance starts from a read that may be seconds old.

Requests and probes are now written only once the records are confirmed, or after 1 s by an instance without any contact; not at the first start of the whole fleet, when no order can be older. A probe that is held back until its time-out counts as not sent.

--- a/internal/call/sender/pool.go
+++ b/internal/call/sender/pool.go
@@ -94,7 +94,7 @@
 	zone       string        // Availability zone of the backend server.
 	withholder *withholder.Withholder
 	// awaitRecords is Sender.AwaitRecords.
-	awaitRecords func(ctx context.Context)
+	awaitRecords func(ctx context.Context) bool
 }
 
 func (r *connRequest) isWithheld() bool {
@@ -106,8 +106,9 @@
 // as the backend server is withheld.
 func (p *connPool) acquireConn(ctx context.Context, transport *http.Transport, r connRequest) (*pooledConn, error) {
 	conn, err := p.awaitConn(ctx, transport, &r)
-	if err == nil && r.awaitRecords != nil {
-		r.awaitRecords(ctx)
+	if err == nil && r.awaitRecords != nil && !r.awaitRecords(ctx) {
+		_ = conn.Close()
+		return nil, ErrWithheld
 	}
 	if err == nil && (r.withholder.IsEvacuated(r.zone) || !r.withholder.TryStart(time.Now(), r.lifetime)) {
 		_ = conn.Close()
--- a/internal/call/sender/sender.go
+++ b/internal/call/sender/sender.go
@@ -24,9 +24,10 @@
 	// Withholder receives what the responses state about their backend servers, and
 	// decides whether a call may be written. nil allows every call.
 	Withholder *withholder.Withholder
-	// AwaitRecords returns when what this instance knows of backend servers may be used, or
-	// when ctx is done. It is called before each request is written; nil returns at once.
-	AwaitRecords func(ctx context.Context)
+	// AwaitRecords returns true when what this instance knows of backend servers may be used,
+	// or false when ctx is done before. It is called before each request is written; nil
+	// means always.
+	AwaitRecords func(ctx context.Context) bool
 
 	mu             sync.Mutex
 	pools          map[netip.AddrPort]*connPool
--- a/internal/instance/detector/resume_gate.go
+++ b/internal/instance/detector/resume_gate.go
@@ -6,14 +6,15 @@
 	"time"
 )
 
-// ResumeGate holds requests back after a long pause of the process until the records are
-// confirmed. An order of the operator may have come in the pause, and callers may have sent
-// requests meanwhile. The exported fields are set before the first call.
+// ResumeGate holds requests back after a long pause of the process, or after its start,
+// until the records are confirmed. An order of the operator may have come in the pause, and
+// callers may have sent requests meanwhile; the first read at the start may be seconds old.
+// The exported fields are set before the first call.
 type ResumeGate struct {
 	CheckPause  func()           // Calls RecordPause if the process was paused.
 	ConfirmedAt func() time.Time // Time at which the records in use were last known to be those of the store.
 
-	resumedAt atomic.Pointer[time.Time] // End of the last long pause; nil once the records are confirmed.
+	resumedAt atomic.Pointer[time.Time] // Start, or end of the last long pause; nil once the records are confirmed.
 }
 
 const (
@@ -28,29 +29,32 @@
 	gatePollInterval = 2 * time.Millisecond
 )
 
+// Hold makes the gate wait for a confirmation after now.
+func (g *ResumeGate) Hold(now time.Time) { g.resumedAt.Store(&now) }
+
 // RecordPause records that a pause of the given length ended at now.
 func (g *ResumeGate) RecordPause(now time.Time, pause time.Duration) {
 	if pause >= minGatedPause {
-		g.resumedAt.Store(&now)
+		g.Hold(now)
 	}
 }
 
-// Await returns when requests may be written, or when ctx is done.
-func (g *ResumeGate) Await(ctx context.Context) {
+// Await returns true when requests may be written, or false when ctx is done before.
+func (g *ResumeGate) Await(ctx context.Context) bool {
 	g.CheckPause()
 	if g.IsOpen(time.Now()) {
-		return
+		return true
 	}
 	t := time.NewTicker(gatePollInterval)
 	defer t.Stop()
 	for {
 		select {
 		case <-ctx.Done():
-			return
+			return false
 		case <-t.C:
 		}
 		if g.IsOpen(time.Now()) {
-			return
+			return true
 		}
 	}
 }
--- a/internal/instance/runner/components.go
+++ b/internal/instance/runner/components.go
@@ -157,6 +157,9 @@
 		c.handler.confirmedAt = c.recordWatcher.PublishedAt
 		c.resumeGate = detector.ResumeGate{CheckPause: c.pauseDetector.CheckPause, ConfirmedAt: c.recordWatcher.PublishedAt}
 		c.handler.sender.AwaitRecords = c.resumeGate.Await
+		if !c.settings.Bootstrap { // No order is older than a fleet that starts for the first time.
+			c.resumeGate.Hold(time.Now())
+		}
 		return
 	}
 	c.handler.confirmedAt = c.configFollower.LastRead
