--- a/internal/call/sender/pool.go
+++ b/internal/call/sender/pool.go
@@ -95,7 +95,7 @@
 	withholder *withholder.Withholder
 	sendBy     time.Time // Latest time of use; zero means any time.
 	// awaitRecords is Sender.AwaitRecords.
-	awaitRecords func(ctx context.Context)
+	awaitRecords func(ctx context.Context) bool
 }
 
 func (r *connRequest) isWithheld() bool {
@@ -110,8 +110,9 @@
 // as the backend server is withheld.
 func (p *connPool) acquireConn(ctx context.Context, transport *http.Transport, r connRequest) (*pooledConn, error) {
 	conn, err := p.awaitConn(ctx, transport, &r)
-	if err == nil && r.awaitRecords != nil {
-		r.awaitRecords(ctx)
+	if err == nil && r.awaitRecords != nil && !r.awaitRecords(ctx) {
+		_ = conn.Close()
+		return nil, ErrWithheld
 	}
 	if err == nil && (r.isLate() || r.withholder.IsEvacuated(r.zone) || !r.withholder.TryStart(time.Now(), r.lifetime)) {
 		_ = conn.Close()
