--- a/internal/route/acquirer/evacuated_test.go
+++ b/internal/route/acquirer/evacuated_test.go
@@ -88,17 +88,9 @@
 	}
 	waiting := &waitingRequest{&e.Client, make(chan error, 1)}
 	go waiting.run(t.Context())
-	for end := time.Now().Add(5 * time.Second); queuedRequests(e.fleet) < 2; time.Sleep(time.Millisecond) {
-		if time.Now().After(end) {
-			t.Fatal("the request does not wait in both zones")
-		}
-	}
+	e.awaitQueued(t, 2)
 	e.setEvacuated("a")
-	for end := time.Now().Add(5 * time.Second); queuedRequests(e.fleet) != 1; time.Sleep(time.Millisecond) {
-		if time.Now().After(end) {
-			t.Fatalf("got %d queued requests, want 1 in zone b", queuedRequests(e.fleet))
-		}
-	}
+	e.awaitQueued(t, 1)
 	for _, s := range slots {
 		if e.zoneOf(s) == "b" {
 			s.Release(acquirer.Result{ReportedCalls: -1, Latency: time.Millisecond})
@@ -109,11 +101,7 @@
 		t.Errorf("got %v for the request that waited, want a slot in zone b", err)
 	}
 	go waiting.run(t.Context())
-	for end := time.Now().Add(5 * time.Second); queuedRequests(e.fleet) < 1; time.Sleep(time.Millisecond) {
-		if time.Now().After(end) {
-			t.Fatal("the request does not wait")
-		}
-	}
+	e.awaitQueued(t, 1)
 	e.setEvacuated("a", "b")
 	start := time.Now()
 	var r *acquirer.Refusal
@@ -134,6 +122,16 @@
 	return n
 }
 
+// awaitQueued waits until n requests wait at all homes together.
+func (e *evacuatedEntry) awaitQueued(t *testing.T, n int) {
+	t.Helper()
+	for end := time.Now().Add(5 * time.Second); queuedRequests(e.fleet) != n; time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("got %d queued requests, want %d", queuedRequests(e.fleet), n)
+		}
+	}
+}
+
 // TestEvacuationOfRegion guards against calls that are refused because all servers of the
 // own region are evacuated while another region has free ones.
 func TestEvacuationOfRegion(t *testing.T) {
@@ -153,11 +151,7 @@
 	slots := []*acquirer.Slot{acquireSlot(t, &e.Client), acquireSlot(t, &e.Client)}
 	waiting := &waitingRequest{&e.Client, make(chan error, 1)}
 	go waiting.run(t.Context())
-	for end := time.Now().Add(5 * time.Second); queuedRequests(e.fleet) < 1; time.Sleep(time.Millisecond) {
-		if time.Now().After(end) {
-			t.Fatal("the request does not wait")
-		}
-	}
+	e.awaitQueued(t, 1)
 	e.setEvacuated("a")
 	if err := <-waiting.result; err != nil {
 		t.Errorf("got %v for the request that waited, want a slot of the other region", err)
