Wait for confirmed records only where zones may be evacuated

It now applies with the term places of the platform, which the deployment with evacuations states; others serve their first calls as before.

--- a/internal/instance/runner/components.go
+++ b/internal/instance/runner/components.go
@@ -165,7 +165,9 @@
 		c.handler.retrier.Limit = c.retryLimit
 		c.handler.confirmedAt = c.recordWatcher.PublishedAt
 		c.resumeGate = detector.ResumeGate{CheckPause: c.pauseDetector.CheckPause, ConfirmedAt: c.recordWatcher.PublishedAt}
-		c.handler.sender.AwaitRecords = c.resumeGate.Await
+		if c.platform.Evacuates {
+			c.handler.sender.AwaitRecords = c.resumeGate.Await
+		}
 		if !c.settings.Bootstrap { // No order is older than a fleet that starts for the first time.
 			c.resumeGate.Hold(time.Now())
 		}
--- a/internal/instance/runner/instance.go
+++ b/internal/instance/runner/instance.go
@@ -49,6 +49,9 @@
 	Store   watcher.Store
 	Decoder watcher.Decoder
 	Dialect translator.Dialect
+	// Evacuates is set if the operator may evacuate zones, so that requests wait for
+	// confirmed records after a start or a long pause.
+	Evacuates bool
 }
 
 // ErrInstanceFailed reports that the instance could not start or stopped because of
