--- a/internal/platform/watcher/evacuations_test.go
+++ b/internal/platform/watcher/evacuations_test.go
@@ -5,9 +5,23 @@
 	"testing"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"sardinelever.example/sardinelever/internal/platform/watcher"
 )
 
+// DecodeEvacuation decodes each record with prefix e/ as an order.
+func (fakeDecoder) DecodeEvacuation(r watcher.Record) (string, error) {
+	zone, ok := strings.CutPrefix(r.Key, "e/")
+	if ok && string(r.Value) != "{}" {
+		return "", errors.New("malformed")
+	}
+	if !ok {
+		zone = ""
+	}
+	return zone, nil
+}
+
 func newOrder(zone string, revision uint64) watcher.Record {
 	return watcher.Record{Key: "e/" + zone, Value: []byte("{}"), Revision: revision}
 }
--- a/internal/platform/watcher/watcher_test.go
+++ b/internal/platform/watcher/watcher_test.go
@@ -162,17 +162,6 @@
 	return reader.Entry{Name: name, Service: "s", Address: netip.AddrPortFrom(netip.IPv6LinkLocalAllNodes(), port)}, ok, nil
 }
 
-func (fakeDecoder) DecodeEvacuation(r watcher.Record) (string, error) {
-	zone, ok := strings.CutPrefix(r.Key, "e/")
-	if ok && string(r.Value) != "{}" {
-		return "", errors.New("malformed")
-	}
-	if !ok {
-		zone = ""
-	}
-	return zone, nil
-}
-
 func (fakeDecoder) CompareStates(a, b watcher.Record) int { return bytes.Compare(a.Value, b.Value) }
 
 // bundleRecorder keeps the text and the revision of the last bundle.
