Hold the slots of calls whose entry is lost

When an instance was lost, the home gave its slots to others at once, although the servers still ran its calls and the last report, counted while they were in flight, showed no others.

With the setting [retry] hedge, calls of a lost entry, and those without a result by 250 ms after their deadline, count as held until the next load report of the server, as silent calls do. The last report also limits a server that is chosen without a fresh one only with this setting now.

TestSlotAccounting also draws hedges and silent calls.

--- a/internal/instance/runner/adapters.go
+++ b/internal/instance/runner/adapters.go
@@ -86,6 +86,9 @@
 	return retrier.Limit{Share: retryBudgetFraction * r.Ratio, Capacity: max(retryBudgetFraction*float64(r.Slack)/float64(c.fleetSize()), 1), Hedge: r.Hedge}
 }
 
+// hedges reports whether calls are hedged.
+func (c *components) hedges() bool { return c.retrySettings.Load().Hedge > 0 }
+
 // onDemandProbeTimeout limits a probe for whose result a request for a slot may
 // wait. It is many times the usual duration of a probe and shorter than the
 // retransmission timeout of TCP.
--- a/internal/instance/runner/components.go
+++ b/internal/instance/runner/components.go
@@ -129,7 +129,7 @@
 	s := c.settings
 	c.allocator = allocator.Allocator{RoutingTable: &c.routingTable, Audit: &c.audit, Withholder: &c.withholder}
 	if c.platform != nil {
-		c.allocator.StartProbe = c.startProbe
+		c.allocator.StartProbe, c.allocator.HoldLost = c.startProbe, c.hedges
 	}
 	c.slotClient = acquirer.Client{
 		RoutingTable: &c.routingTable, Name: s.Name, Zone: s.Zone, Region: s.Region,
--- a/internal/route/allocator/allocator.go
+++ b/internal/route/allocator/allocator.go
@@ -28,6 +28,9 @@
 	// then shows these servers as leaving. It also says which servers want no probes
 	// of this instance. nil ignores the reports and allows all probes.
 	Withholder *withholder.Withholder
+	// HoldLost reports whether calls without a result, such as those of a lost entry,
+	// count as held until a load report of their server; nil means that they do not.
+	HoldLost func() bool
 
 	mu    sync.RWMutex
 	pools map[PoolKey]*poolWorker
@@ -172,7 +175,7 @@
 		al.pools = make(map[PoolKey]*poolWorker)
 	}
 	w := &poolWorker{
-		pool: Pool{Key: k, Audit: al.Audit}, routingTable: al.RoutingTable, startProbe: al.StartProbe, withholder: al.Withholder,
+		pool: Pool{Key: k, Audit: al.Audit, HoldLost: al.HoldLost}, routingTable: al.RoutingTable, startProbe: al.StartProbe, withholder: al.Withholder,
 		commands: make(chan *command, maxPendingCommands), quit: make(chan struct{}),
 	}
 	if al.StartProbe != nil {
--- a/internal/route/allocator/pool.go
+++ b/internal/route/allocator/pool.go
@@ -26,6 +26,9 @@
 	// MayProbe reports whether a server may be probed now; nil means always. A server
 	// that this instance may not probe is still granted to others.
 	MayProbe func(time.Time, *tracker.Server) bool
+	// HoldLost reports whether calls without a result count as held until a load report
+	// of their server; nil means that they do not.
+	HoldLost func() bool
 
 	servers         tracker.Pool
 	config          parser.Service
@@ -255,7 +258,7 @@
 	p.removeHedges(func(id ID) bool { return id.Owner == owner })
 	for id := range p.grants {
 		if id.Owner == owner {
-			p.endGrant(id, nil, now)
+			p.loseGrant(now, id)
 		}
 	}
 	p.dispatch(now)
@@ -283,7 +286,7 @@
 func (p *Pool) Tick(now time.Time) {
 	for id, g := range p.grants {
 		if now.Sub(g.deadline) > grantGrace {
-			p.endGrant(id, nil, now)
+			p.loseGrant(now, id)
 		}
 	}
 	p.dispatch(now)
--- a/internal/route/allocator/pool_test.go
+++ b/internal/route/allocator/pool_test.go
@@ -39,14 +39,14 @@
 }
 
 // TestSlotAccounting guards against a count of used slots that is wrong or
-// exceeds the slots after any sequence of requests, cancellations, ended calls,
+// exceeds the slots after any sequence of requests, hedges, cancellations, ended and silent calls,
 // kept slots and closed sessions.
 func TestSlotAccounting(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		p, e, now := newPool(3, 2), &replyRecorder{make(map[uint64]allocator.Reply)}, startTime
 		for number := range uint64(rapid.IntRange(1, 80).Draw(t, "steps")) {
 			id := allocator.ID{Owner: e, Number: rapid.Uint64Range(0, number).Draw(t, "number")}
-			switch rapid.IntRange(0, 8).Draw(t, "step") {
+			switch rapid.IntRange(0, 9).Draw(t, "step") {
 			case 0:
 				p.CancelRequest(now, id)
 			case 1:
@@ -59,8 +59,13 @@
 			case 4:
 				now = now.Add(time.Duration(rapid.IntRange(0, 2000).Draw(t, "ms")) * time.Millisecond)
 				p.Tick(now)
+			case 5:
+				p.MarkSilent(now, id)
+				p.ReleaseSlot(now, id, tracker.Result{ReportedCalls: rapid.IntRange(-1, 3).Draw(t, "reported"), Latency: time.Second, Unanswered: true, Silent: true})
 			default:
-				p.RequestSlot(now, newRequest(e, number, parser.Rank(rapid.IntRange(0, 2).Draw(t, "rank")), now.Add(time.Second)))
+				req := newRequest(e, number, parser.Rank(rapid.IntRange(0, 2).Draw(t, "rank")), now.Add(time.Second))
+				req.Hedge = rapid.Bool().Draw(t, "hedge")
+				p.RequestSlot(now, req)
 			}
 			if n, over := inFlight(p, now); over || n != p.GrantedCount() {
 				t.Fatalf("got %d calls in flight, more than slots on a server: %v, want %d and false", n, over, p.GrantedCount())
--- a/internal/route/allocator/silence.go
+++ b/internal/route/allocator/silence.go
@@ -32,6 +32,19 @@
 	p.servers.HoldLost(now, g.server)
 }
 
+// loseGrant ends the grant of id, whose entry was lost or has not reported the result of
+// its call, which may still be at the server.
+func (p *Pool) loseGrant(now time.Time, id ID) {
+	g := p.grants[id]
+	used := !g.kept
+	p.endGrant(id, nil, now)
+	if used && p.holdsLost() && p.servers.FindServer(g.server.Address) == g.server {
+		p.servers.HoldLost(now, g.server)
+	}
+}
+
+func (p *Pool) holdsLost() bool { return p.HoldLost != nil && p.HoldLost() }
+
 // needsProof reports whether s has no slot to grant only because of calls without an
 // answer, so that a probe may free one.
 func (p *Pool) needsProof(now time.Time, s *tracker.Server) bool {
@@ -60,8 +73,8 @@
 const maxPickReportAge = time.Second
 
 // isFullByReport reports whether the calls of others fill the free slots of s by its last
-// report. A pool without fresh reports goes by its own count.
+// report. A pool that holds no lost calls goes by its own count.
 func (p *Pool) isFullByReport(now time.Time, s *tracker.Server) bool {
 	external, age, ok := s.ReportedExternalCalls(now)
-	return p.usesFreshReports() && ok && age <= maxPickReportAge && external >= s.FreeSlots(now)
+	return p.holdsLost() && p.usesFreshReports() && ok && age <= maxPickReportAge && external >= s.FreeSlots(now)
 }
--- a/internal/route/allocator/silence_test.go
+++ b/internal/route/allocator/silence_test.go
@@ -40,14 +40,18 @@
 func (s *silentPool) run(d time.Duration) {
 	s.answered, s.lost = 0, 0
 	for range int(d / (10 * time.Millisecond)) {
-		s.lastNumber++
-		s.pool.RequestSlot(s.now, allocator.SlotRequest{
-			ID: allocator.ID{Owner: s, Number: s.lastNumber}, Rank: 1, Route: "r", Deadline: s.now.Add(silentTimeout), Target: s.now.Add(500 * time.Millisecond),
-		})
+		s.requestSlot()
 		s.advance(10 * time.Millisecond)
 	}
 }
 
+func (s *silentPool) requestSlot() {
+	s.lastNumber++
+	s.pool.RequestSlot(s.now, allocator.SlotRequest{
+		ID: allocator.ID{Owner: s, Number: s.lastNumber}, Rank: 1, Route: "r", Deadline: s.now.Add(silentTimeout), Target: s.now.Add(500 * time.Millisecond),
+	})
+}
+
 func (s *silentPool) ReceiveReply(r allocator.Reply) {
 	if r.Kind != allocator.ReplyOffered {
 		return
@@ -132,3 +136,25 @@
 		t.Errorf("2 lost calls reported: got %d more calls, want 1", s.lost)
 	}
 }
+
+// TestCallsOfLostEntryAreHeld guards against a server that gets as many calls again as it
+// has slots when an entry is lost whose calls it still runs, which its last report, although
+// fresh, counts as those of the entry.
+func TestCallsOfLostEntryAreHeld(t *testing.T) {
+	s := newSilentPool(1, 1)
+	s.queues, s.pool.HoldLost = true, func() bool { return true }
+	for range 3 {
+		s.requestSlot()
+	}
+	s.advance(5 * time.Millisecond)
+	s.pool.CloseSession(s.now, s)
+	s.run(time.Second)
+	if s.lost != 0 {
+		t.Errorf("got %d more calls at a server of 3 slots that still runs 3 calls, want 0", s.lost)
+	}
+	clear(s.grantedInFlight) // They have ended.
+	s.run(time.Second)
+	if s.lost != 3 {
+		t.Errorf("got %d calls at the server after its calls have ended, want 3", s.lost)
+	}
+}
