--- a/internal/instance/runner/components.go
+++ b/internal/instance/runner/components.go
@@ -139,7 +139,7 @@
 		ColdLimits: allocator.ColdLimits{Bound: s.Cold, FleetShare: c.fleetShare},
 	}
 	if c.platform != nil {
-		c.allocator.StartProbe = c.startProbe
+		c.allocator.StartProbe, c.allocator.HoldLost = c.startProbe, c.hedges
 	}
 	c.slotClient = acquirer.Client{
 		RoutingTable: &c.routingTable, Name: s.Name, Zone: s.Zone, Region: s.Region,
--- a/internal/route/allocator/pool.go
+++ b/internal/route/allocator/pool.go
@@ -32,6 +32,9 @@
 	ColdLimits ColdLimits // Limits the calls to cold servers.
 
 	Observer Observer // nil means that nothing is observed.
+	// HoldLost reports whether calls without a result count as held until a load report
+	// of their server; nil means that they do not.
+	HoldLost func() bool
 
 	servers         tracker.Pool
 	config          parser.Service
@@ -261,7 +264,7 @@
 	p.removeHedges(func(id ID) bool { return id.Owner == owner })
 	for id := range p.grants {
 		if id.Owner == owner {
-			p.endGrant(id, nil, now)
+			p.loseGrant(now, id)
 		}
 	}
 	p.dispatch(now)
@@ -293,7 +296,7 @@
 func (p *Pool) Tick(now time.Time) {
 	for id, g := range p.grants {
 		if now.Sub(g.deadline) > grantGrace {
-			p.endGrant(id, nil, now)
+			p.loseGrant(now, id)
 		}
 	}
 	p.updateCold(now)
