Leave the time without waiting requests out of the measured rate

After the loss of an entry, whose requests leave the queue without being counted, the time until the next request counted as time in which none was served. The next burst was then refused: 19 of 30 uploads that the slots serve within a second, now none (TestLostEntry).

--- a/internal/route/allocator/observer_test.go
+++ b/internal/route/allocator/observer_test.go
@@ -48,3 +48,28 @@
 		t.Errorf("got audit entries %v, want one for the refusals", audit.Changes())
 	}
 }
+
+// TestLostEntry guards against refusals because no request left the queue between the
+// loss of an entry, whose requests are dropped, and the next calls.
+func TestLostEntry(t *testing.T) {
+	sim := newPoolSimulation(4, 2, 30*time.Millisecond)
+	sim.tickPool()
+	upload := callType{"upload", 260 * ms, 3 * time.Second, 4 * time.Second}
+	number := uint64(0)
+	send := func(n int, then time.Duration) {
+		for range n {
+			number++
+			sim.callTypes[number] = upload
+			sim.requestSlot(number)
+		}
+		sim.advance(then)
+	}
+	send(8, 2*time.Second)
+	send(30, 20*ms)
+	sim.pool.CloseSession(sim.now, sim)
+	sim.advance(10 * time.Second)
+	send(30, 3*time.Second)
+	if sim.refused > 0 {
+		t.Errorf("got %d calls refused, want 0: the slots serve them within a second", sim.refused)
+	}
+}
--- a/internal/route/allocator/route_queue.go
+++ b/internal/route/allocator/route_queue.go
@@ -61,8 +61,11 @@
 	q := &p.queues[req.Rank]
 	qr := &queuedRequest{SlotRequest: req, queuedAt: now, route: q.routeOf(req.Route)}
 	p.queued[req.ID] = q.requests.PushBack(qr)
-	qr.route.waiting++
 	qr.route.askedAt = now
+	if qr.route.waiting == 0 {
+		qr.route.drain.waiting = false // Requests of a lost entry leave without being counted.
+	}
+	qr.route.waiting++
 	qr.route.drain.advance(now, true)
 	qr.route.recordSlack(req.Target.Sub(now) - p.expectedWork(req))
 	return qr
