Keep new callers when waiting calls use up the memory budget

While calls that wait for slots or have one, which are never closed, held more than 90% of the budget, each new connection was closed while its header was read, since it was all that could be closed. A connection that holds no more than an ordinary one is now left alone in its first second; above 125% of the budget all requests are refused with 503. Callers may use 50% of the descriptors, operators 5% and peers 30%: 10% of 1,024 could be fewer than a large fleet has instances.

Measured: TestNewCallerWhilePlacedHoldMost gets a reset without the change and passes with it.

--- a/internal/instance/limiter/eviction.go
+++ b/internal/instance/limiter/eviction.go
@@ -44,8 +44,12 @@
 		}
 		received := c.received.Load()
 		v := victim{conn: c, held: c.held.Load(), idle: received == 0 && c.served.Load()}
-		v.cost = float64(now-c.since.Load()) / float64(received+1024)
+		age := now - c.since.Load()
+		v.cost = float64(age) / float64(received+1024)
 		if byBytes {
+			if v.held <= smallBytes && age < int64(youngTime) {
+				continue
+			}
 			v.cost *= float64(v.held)
 		}
 		all = append(all, v)
--- a/internal/instance/limiter/handler.go
+++ b/internal/instance/limiter/handler.go
@@ -42,7 +42,7 @@
 		h.limiter.closed[Fields].Add(1)
 		w.Header().Set("Connection", "close")
 		w.WriteHeader(http.StatusRequestHeaderFieldsTooLarge)
-	case h.limiter.isOver(closeFraction) && c.held.Load() > smallBytes:
+	case h.limiter.isOver(refuseFraction), h.limiter.isOver(closeFraction) && c.held.Load() > smallBytes:
 		h.limiter.closed[Memory].Add(1)
 		w.Header().Set("Connection", "close")
 		h.refuse.ServeHTTP(w, r)
--- a/internal/instance/limiter/limiter.go
+++ b/internal/instance/limiter/limiter.go
@@ -47,6 +47,12 @@
 	// Connections are closed when more than closeFraction of the budget is in use, until
 	// reliefFraction is. The rest of the budget is room for new callers.
 	closeFraction, reliefFraction = 0.9, 0.8
+	// refuseFraction is the part of the budget above which also ordinary requests are
+	// refused, which calls that wait for slots can use up.
+	refuseFraction = 1.25
+	// youngTime is the time for which a connection that holds no more than an ordinary one
+	// is not closed for want of memory: otherwise calls that wait would shut out new ones.
+	youngTime = time.Second
 	// reservedDescriptors are for files, for the store and for links between instances, or
 	// half of the descriptors if that is less.
 	reservedDescriptors = 200
@@ -72,7 +78,7 @@
 
 // connShares are the parts of the descriptors that the connections of a listener may use.
 // The rest is for connections to backend servers.
-var connShares = [kindCount]float64{Callers: 0.6, Operators: 0.1, Peers: 0.1}
+var connShares = [kindCount]float64{Callers: 0.5, Operators: 0.05, Peers: 0.3}
 
 // Limiter accounts for the connections of all listeners. The exported fields are set
 // before Listen. With Memory and Descriptors 0 it does nothing.
--- a/internal/instance/limiter/limiter_test.go
+++ b/internal/instance/limiter/limiter_test.go
@@ -128,6 +128,36 @@
 	}
 }
 
+// TestNewCallerWhilePlacedHoldMost guards against new callers whose connections are closed
+// because requests that are never closed use up the budget.
+func TestNewCallerWhilePlacedHoldMost(t *testing.T) {
+	l := &limiter.Limiter{Memory: 32 << 20}
+	placed, release := make(chan bool), make(chan bool)
+	addr := startServer(t, l, func(w http.ResponseWriter, r *http.Request) {
+		request := limiter.RequestOf(r.Context())
+		defer request.Finish()
+		if r.URL.Path == "/placed" {
+			request.Protect()
+			request.Hold(int(l.Budget()))
+			placed <- true
+			<-release
+		}
+		readBody(w, r)
+	})
+	defer close(release)
+	_, _ = io.WriteString(dial(t, addr), "POST /placed HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\n\r\n")
+	<-placed
+	for range 50 {
+		conn := dial(t, addr)
+		_, _ = io.WriteString(conn, "GET / HTTP/1.1\r\n")
+		_, _ = io.WriteString(conn, "Host: h\r\n\r\n")
+		resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		if err != nil || resp.StatusCode != http.StatusOK {
+			t.Fatalf("got response %v and error %v, want status 200", resp, err)
+		}
+	}
+}
+
 // TestFieldsOverHTTP2 guards against many fields of HTTP/2 requests that are not limited.
 func TestFieldsOverHTTP2(t *testing.T) {
 	l := &limiter.Limiter{Memory: 32 << 20}
