--- a/internal/instance/runner/adapters.go
+++ b/internal/instance/runner/adapters.go
@@ -89,15 +89,20 @@
 
 // retryLimit returns this instance's share of the common retry budget.
 func (c *components) retryLimit() retrier.Limit {
-	r, hedge := c.retrySettings.Load(), 0.0
-	if c.usesBulkSettings() {
-		hedge = r.Hedge
+	r := c.retrySettings.Load()
+	return retrier.Limit{Share: retryBudgetFraction * r.Ratio, Capacity: max(retryBudgetFraction*float64(r.Slack)/float64(c.fleetSize()), 1), Hedge: c.hedgeShare()}
+}
+
+// hedgeShare returns the share of the retry budget that hedges may use.
+func (c *components) hedgeShare() float64 {
+	if !c.usesBulkSettings() {
+		return 0
 	}
-	return retrier.Limit{Share: retryBudgetFraction * r.Ratio, Capacity: max(retryBudgetFraction*float64(r.Slack)/float64(c.fleetSize()), 1), Hedge: hedge}
+	return c.retrySettings.Load().Hedge
 }
 
 // hedges reports whether calls are hedged.
-func (c *components) hedges() bool { return c.retrySettings.Load().Hedge > 0 }
+func (c *components) hedges() bool { return c.hedgeShare() > 0 }
 
 // onDemandProbeTimeout limits a probe for whose result a request for a slot may
 // wait. It is many times the usual duration of a probe and shorter than the
--- a/internal/route/allocator/probing.go
+++ b/internal/route/allocator/probing.go
@@ -65,63 +65,84 @@
 	slowdown float64
 }
 
+// options holds the servers with free slots that a request may use, by what is known of
+// them.
+type options struct {
+	normal, slow, stale, unprobed, refusing, staleRefusing []option
+
+	pending int // Servers whose probes are in progress.
+}
+
 // chooseByFreshReports returns the cheapest free server that is at normal speed by
 // a report of at most maxAge. If there is none, it starts probes of the free
 // servers without a usable report and returns nil while it waits for results. When
 // there are none to wait for, it considers the servers that may not be probed, then
 // those that refuse calls while they are free, and then the slow ones.
 func (p *Pool) chooseByFreshReports(now time.Time, qr *queuedRequest, maxAge time.Duration) *tracker.Server {
-	var normal, slow, stale, unprobed, refusing, staleRefusing []option
-	pending := 0
+	o := p.options(now, qr, maxAge)
+	p.awaitingProbes = false
+	if best, ok := cheapestOption(o.normal); ok {
+		return best.server
+	}
+	o.pending += p.startProbes(now, o.stale, min(max(minProbes, len(p.queued)), maxProbes)-o.pending)
+	if p.awaitingProbes = o.pending > 0; p.awaitingProbes {
+		return nil
+	}
+	if best, ok := cheapestOption(o.unprobed); ok {
+		return best.server
+	}
+	if best, ok := cheapestOption(o.refusing); ok {
+		return best.server
+	}
+	return p.chooseSlowServer(now, qr, o.slow)
+}
+
+// options returns the servers that qr may use.
+func (p *Pool) options(now time.Time, qr *queuedRequest, maxAge time.Duration) *options {
+	o := new(options)
 	for _, s := range p.servers.Servers() {
 		proven := p.availableSlots(now, s) > 0
 		if !proven && !p.needsProof(now, s) || s.InProbeBackoff(now) || slices.Contains(qr.Avoid, s.Address) {
 			continue
 		}
-		o := p.serverOption(now, s)
 		slowdown, age, ok := s.Slowdown(now)
-		probeAge := s.PendingProbeAge(now)
-		isRefusing := p.servers.IsRefusing(now, s)
+		isFresh := proven && ok && age <= maxAge
 		switch {
-		case isRefusing && proven && ok && age <= maxAge && slowdown <= maxNormalSlowdown:
-			refusing = append(refusing, o)
-		case proven && ok && age <= maxAge && p.isLimited(now, s):
-			slow = append(slow, o)
-		case proven && ok && age <= maxAge && slowdown <= maxNormalSlowdown:
-			normal = append(normal, o)
+		case isFresh && p.isLimited(now, s):
+			o.slow = append(o.slow, p.serverOption(now, s))
+		case isFresh && slowdown <= maxNormalSlowdown && p.servers.IsRefusing(now, s):
+			o.refusing = append(o.refusing, p.serverOption(now, s))
+		case isFresh && slowdown <= maxNormalSlowdown:
+			o.normal = append(o.normal, p.serverOption(now, s))
 		case proven && ok && age <= maxHighSlowdownAge && slowdown > maxNormalSlowdown:
-			slow = append(slow, o)
-		case probeAge > 0 && probeAge <= maxProbeWait:
-			pending++
-		case p.MayProbe != nil && !p.MayProbe(now, s):
-			if proven {
-				unprobed = append(unprobed, o)
-			}
-		case probeAge > 0: // The probe is late: do not wait for it and do not start another.
-		case isRefusing:
-			staleRefusing = append(staleRefusing, o)
+			o.slow = append(o.slow, p.serverOption(now, s))
 		default:
-			stale = append(stale, o)
+			p.addUnknown(now, o, s, proven)
 		}
 	}
-	if len(stale) == 0 && pending == 0 && len(refusing) == 0 {
-		stale = staleRefusing
-	}
-	p.awaitingProbes = false
-	if best, ok := cheapestOption(normal); ok {
-		return best.server
-	}
-	pending += p.startProbes(now, stale, min(max(minProbes, len(p.queued)), maxProbes)-pending)
-	if p.awaitingProbes = pending > 0; p.awaitingProbes {
-		return nil
-	}
-	if best, ok := cheapestOption(unprobed); ok {
-		return best.server
+	if len(o.stale) == 0 && o.pending == 0 && len(o.refusing) == 0 {
+		o.stale = o.staleRefusing
 	}
-	if best, ok := cheapestOption(refusing); ok {
-		return best.server
+	return o
+}
+
+// addUnknown adds s, of which no usable report is known, to o. Proven tells whether s has
+// a free slot for certain.
+func (p *Pool) addUnknown(now time.Time, o *options, s *tracker.Server, proven bool) {
+	probeAge := s.PendingProbeAge(now)
+	switch {
+	case probeAge > 0 && probeAge <= maxProbeWait:
+		o.pending++
+	case p.MayProbe != nil && !p.MayProbe(now, s):
+		if proven {
+			o.unprobed = append(o.unprobed, p.serverOption(now, s))
+		}
+	case probeAge > 0: // The probe is late: do not wait for it and do not start another.
+	case p.servers.IsRefusing(now, s):
+		o.staleRefusing = append(o.staleRefusing, p.serverOption(now, s))
+	default:
+		o.stale = append(o.stale, p.serverOption(now, s))
 	}
-	return p.chooseSlowServer(now, qr, slow)
 }
 
 // serverOption returns s with the cost of granting one of its slots.
