--- a/internal/route/allocator/observer_test.go
+++ b/internal/route/allocator/observer_test.go
@@ -53,6 +53,8 @@
 // loss of an entry, whose requests are dropped, and the next calls.
 func TestLostEntry(t *testing.T) {
 	sim := newPoolSimulation(4, 2, 30*time.Millisecond)
+	sim.bulk = true // Without it, waits are not predicted.
+	sim.syncServers(4, 2, 30*time.Millisecond)
 	sim.tickPool()
 	upload := callType{"upload", 260 * ms, 3 * time.Second, 4 * time.Second}
 	number := uint64(0)
--- a/internal/route/allocator/probing_test.go
+++ b/internal/route/allocator/probing_test.go
@@ -43,6 +43,7 @@
 	callTypes        map[uint64]callType    // By request number, for calls that are not of defaultCallType.
 	externalInFlight map[netip.AddrPort]int // Calls in flight on a server that the pool did not grant.
 	grantedInFlight  map[netip.AddrPort]int // Calls in flight on a server that the pool granted.
+	bulk             bool                   // The configuration has bulk rules.
 	nearlyFullFactor float64                // Factor on the work of a call that makes a server nearly full; 0 means no slowdown.
 	routeCounts      map[string]*[2]int     // Calls on time and all calls, by route.
 }
@@ -90,7 +91,7 @@
 			p.slowdown[serverAddr(i)] = 1
 		}
 	}
-	b := &parser.Bundle{Version: 1, Services: []parser.Service{{Name: "s", Slots: 1, Probe: parser.Probe{Fresh: parser.Duration(fresh)}}}}
+	b := &parser.Bundle{Version: 1, Rules: []parser.Rule{{Bulk: p.bulk}}, Services: []parser.Service{{Name: "s", Slots: 1, Probe: parser.Probe{Fresh: parser.Duration(fresh)}}}}
 	p.pool.ApplyTable(p.now, router.NewRoutingTable(b, l))
 }
 
