Show changes of rules and limits in diff

An operator who changed only rules, weights or limits got "the services are equal": diff compared services only.

diff now compares limits, rules (by host and path) and services. Weights are compared by service, so that reordered parts are no change.

--- a/cmd/sardinelever/diff.go
+++ b/cmd/sardinelever/diff.go
@@ -13,7 +13,7 @@
 	After  string `arg:"" help:"Bundle, or folder with one TOML file per service."`
 }
 
-// Run prints the differences of two bundles. Equal bundles are not an error.
+// Run prints the differences of two bundles in limits, rules and services. Equal bundles are not an error.
 func (c *diffCommand) Run() error {
 	before, err := readBundle(c.Before)
 	if err != nil {
@@ -32,7 +32,7 @@
 		fmt.Printf("note: %s was not made from version %d\n", c.After, before.Version)
 	}
 	if text == "" {
-		text = "the services are equal\n"
+		text = "limits, rules and services are equal\n"
 	}
 	fmt.Print(text)
 	return nil
--- a/internal/config/bundler/bundler_test.go
+++ b/internal/config/bundler/bundler_test.go
@@ -144,6 +144,39 @@
 	}
 }
 
+// TestDiffRulesAndLimits guards against a review in which changes of rules, weights of
+// parts or limits do not appear, and against parts that are compared by position.
+func TestDiffRulesAndLimits(t *testing.T) {
+	services := []parser.Service{{Name: "a", Slots: 1}, {Name: "b", Slots: 1}, {Name: "c", Slots: 1}}
+	oldBundle := &parser.Bundle{Services: services, Limits: parser.Limits{Header: 4096, Body: 100}, Rules: []parser.Rule{
+		{Name: "r1", Host: "h", Path: "/x/", Attempts: 2, Target: parser.Duration(time.Second), Parts: []parser.Part{{Service: "a", Weight: 90}, {Service: "b", Weight: 10}}},
+		{Name: "r2", Host: "h", Path: "/y/", Parts: []parser.Part{{Service: "b", Weight: 1}}},
+	}}
+	newBundle := &parser.Bundle{Services: services, Limits: parser.Limits{Header: 8192, Idle: parser.Duration(time.Second)}, Rules: []parser.Rule{
+		{Name: "r3", Host: "h", Path: "/", Parts: []parser.Part{{Service: "b", Weight: 1}}},
+		{Name: "r1", Host: "h", Path: "/x/", Attempts: 3, Target: parser.Duration(time.Second), Parts: []parser.Part{{Service: "c", Weight: 5}, {Service: "a", Weight: 80}}},
+	}}
+	got, err := bundler.DiffBundles(oldBundle, newBundle)
+	want := `~ limits of the bundle
+    - body = 100
+    header: 4096 -> 8192
+    + idle = "1s"
++ rule r3 for h/
+~ rule r1 for h/x/
+    attempts: 2 -> 3
+    weight of a: 90 -> 80
+    - weight of b = 10
+    + weight of c = 5
+- rule r2 for h/y/
+`
+	if err != nil || got != want {
+		t.Errorf("got %s and error %v, want %s", got, err, want)
+	}
+	if got, err := bundler.DiffBundles(newBundle, newBundle); got != "" || err != nil {
+		t.Errorf("got %s and error %v for equal bundles, want neither", got, err)
+	}
+}
+
 // writeFile writes text to the file name in dir.
 func writeFile(t *testing.T, dir, name, text string) {
 	t.Helper()
