--- a/internal/config/parser/check.go
+++ b/internal/config/parser/check.go
@@ -66,12 +66,9 @@
 		return
 	}
 	c.pathsWithMistake[path] = true
-	line, enclosing := 0, path
-	for line == 0 && enclosing != "" {
-		line = c.index.lineByPath[enclosing]
-		enclosing = enclosing[:max(0, strings.LastIndexByte(enclosing, '.'))]
-	}
-	c.mistakes = append(c.mistakes, Mistake{File: c.file, Line: line, Key: displayPath(path), Reason: fmt.Sprintf(format, args...)})
+	c.mistakes = append(c.mistakes, Mistake{
+		File: c.file, Line: c.index.closestLine(path), Key: displayPath(path), Path: path, Reason: fmt.Sprintf(format, args...),
+	})
 }
 
 // requireKey reports whether the file sets the key at path, and records a
--- a/internal/config/parser/key_index.go
+++ b/internal/config/parser/key_index.go
@@ -123,6 +123,17 @@
 	return sort.SearchInts(k.lineOffsets, int(it.Node().Raw.Offset)+1)
 }
 
+// closestLine returns the line of path or, if the file does not set it, that of the
+// closest enclosing table that the file has; 0 if it has none.
+func (k *keyIndex) closestLine(path string) int {
+	line := 0
+	for line == 0 && path != "" {
+		line = k.lineByPath[path]
+		path = path[:max(0, strings.LastIndexByte(path, '.'))]
+	}
+	return line
+}
+
 // findExpression returns the position in expressions of the last one that starts at or
 // before line. The result is false if there is none or if it is a table header.
 func (k *keyIndex) findExpression(line int) (int, bool) {
--- a/internal/config/parser/mistake.go
+++ b/internal/config/parser/mistake.go
@@ -5,11 +5,13 @@
 	"strings"
 )
 
-// Mistake is one invalid value, missing or unknown key, or syntax error of a file.
+// Mistake is one invalid value, missing or unknown key, or syntax error of a file. The
+// warnings of package linter have the same form.
 type Mistake struct {
 	File   string
 	Line   int    // 0 if the mistake belongs to no line.
 	Key    string // Without the positions of array elements; empty if unknown.
+	Path   string // Key with the positions of array elements, from 0; empty if unknown.
 	Reason string
 }
 
