--- a/cmd/sardinelever/check.go
+++ b/cmd/sardinelever/check.go
@@ -12,43 +12,38 @@
 )
 
 type checkCommand struct {
+	dialectFlag
 	Paths []string `arg:"" help:"Service files, folders of them, bundles or instance settings."`
 }
 
-// Run checks the files of all paths. It prints every mistake, and accepts the files
-// only if there are none.
+// Run checks the files of all paths. It prints every mistake and every warning, and
+// accepts the files if there are no mistakes.
 func (c *checkCommand) Run() error {
 	files, err := c.readFiles()
 	if err != nil {
 		return err
 	}
-	mistakes := new(parser.MistakesError)
-	var services []parser.File
-	count := make(map[parser.FileKind]int)
+	checker := fileChecker{dialect: &c.dialectFlag, count: make(map[parser.FileKind]int)}
 	for _, f := range files {
-		kind := parser.DetectFileKind(f.Text)
-		count[kind]++
-		switch kind {
-		case parser.BundleFile:
-			if err := bundler.CheckBundleSize(f.Text); err != nil {
-				return errors.Wrap(err, f.Name)
-			}
-			_, err = parser.ParseBundle(f.Name, f.Text)
-		case parser.SettingsFile:
-			_, err = parser.ParseSettings(f.Name, f.Text)
-		case parser.ServiceFile:
-			services = append(services, f)
-			continue
+		if err := checker.checkFile(f); err != nil {
+			return err
 		}
-		appendMistakes(mistakes, err)
 	}
-	_, err = parser.ParseServices(services)
-	appendMistakes(mistakes, err)
-	if len(mistakes.Mistakes) > 0 {
-		return printMistakes(mistakes)
+	checker.checkServices()
+	checker.lintAttempts()
+	for _, w := range checker.warnings {
+		w.Reason = "warning: " + w.Reason
+		fmt.Fprintln(os.Stderr, w)
+	}
+	if len(checker.mistakes.Mistakes) > 0 {
+		return printMistakes(&checker.mistakes)
+	}
+	fmt.Printf("accepted: %d service files, %d bundles, %d settings",
+		checker.count[parser.ServiceFile], checker.count[parser.BundleFile], checker.count[parser.SettingsFile])
+	if n := len(checker.warnings); n > 0 {
+		fmt.Printf("; warnings: %d", n)
 	}
-	fmt.Printf("accepted: %d service files, %d bundles, %d settings\n",
-		count[parser.ServiceFile], count[parser.BundleFile], count[parser.SettingsFile])
+	fmt.Println()
 	return nil
 }
 
@@ -76,15 +71,7 @@
 	return files, nil
 }
 
-// appendMistakes appends the mistakes in err to mistakes.
-func appendMistakes(mistakes *parser.MistakesError, err error) {
-	var m *parser.MistakesError
-	if errors.As(err, &m) {
-		mistakes.Mistakes = append(mistakes.Mistakes, m.Mistakes...)
-	}
-}
-
 // Help returns the help text about the exit status.
 func (checkCommand) Help() string {
-	return "Exit status: 0 when the files are accepted; 1 when one is refused (every mistake is printed) or cannot be read; 2 for wrong arguments."
+	return "Exit status: 0 when the files are accepted; 1 when one is refused (every mistake is printed) or cannot be read; 2 for wrong arguments. Warnings, about entries without effect and limits that contradict each other, do not change it."
 }
--- a/cmd/sardinelever/collect.go
+++ b/cmd/sardinelever/collect.go
@@ -7,7 +7,6 @@
 	"github.com/pkg/errors"
 
 	"sardinelever.example/sardinelever/internal/config/bundler"
-	"sardinelever.example/sardinelever/internal/config/parser"
 )
 
 type collectCommand struct {
@@ -22,7 +21,7 @@
 func (c *collectCommand) Run() error {
 	parent := uint64(0)
 	if c.From != "" {
-		b, err := readBundle(c.From)
+		b, err := new(dialectFlag).readBundle(c.From)
 		if err != nil {
 			return printMistakes(err)
 		}
@@ -51,18 +50,6 @@
 	return nil
 }
 
-// readBundle reads and parses the bundle in file.
-func readBundle(file string) (*parser.Bundle, error) {
-	text, err := os.ReadFile(file)
-	if err != nil {
-		return nil, err
-	}
-	if err := bundler.CheckBundleSize(text); err != nil {
-		return nil, errors.Wrap(err, file)
-	}
-	return parser.ParseBundle(file, text)
-}
-
 // Help returns the help text about the exit status.
 func (collectCommand) Help() string {
 	return "Exit status: 0 when the bundle is written; 1 when a file is refused (every mistake is printed) or cannot be read or written; 2 for wrong arguments."
--- a/cmd/sardinelever/diff.go
+++ b/cmd/sardinelever/diff.go
@@ -9,13 +9,14 @@
 )
 
 type diffCommand struct {
+	dialectFlag
 	Before string `arg:"" help:"Bundle."`
 	After  string `arg:"" help:"Bundle, or folder with one TOML file per service."`
 }
 
 // Run prints the differences of two bundles in limits, rules and services. Equal bundles are not an error.
 func (c *diffCommand) Run() error {
-	before, err := readBundle(c.Before)
+	before, err := c.readBundle(c.Before)
 	if err != nil {
 		return printMistakes(err)
 	}
@@ -46,7 +47,7 @@
 		return nil, err
 	}
 	if !info.IsDir() {
-		return readBundle(c.After)
+		return c.readBundle(c.After)
 	}
 	text, err := bundler.CollectServiceFiles(c.After, parent+1, parent)
 	if err != nil {
