Retry a silent call whose hedge is denied late

While the hedge of a silent call still asked for a slot when the time for the call's retry came, there was no retry; if the hedge was then denied, the call waited until its time limit. The retry now follows when the hedge is denied or fails.

Whether calls are hedged is read from the settings and no longer computed from the fleet's limit for each call.

--- a/internal/call/retrier/hedged_group.go
+++ b/internal/call/retrier/hedged_group.go
@@ -1,6 +1,9 @@
 package retrier
 
-import "time"
+import (
+	"context"
+	"time"
+)
 
 // sentReport is the report of Attempt.MarkSent.
 type sentReport struct {
@@ -47,15 +50,23 @@
 // mayOverlap reports whether two attempts of the call may run at the same time.
 func (g *attemptGroup[T]) mayOverlap() bool { return g.call.Hedge && g.call.Idempotent }
 
-// acquireSilentRetry gives up the primary attempt as silent, which goes on, and reports
-// whether a retry may follow; if so, it takes a token and one unit of the budget. After
-// the target, the retry must not wait for a slot, as a hedge: while slots are short, they
-// go to calls that can still be answered in time.
-func (g *attemptGroup[T]) acquireSilentRetry() bool {
+// handleSilence gives up the primary attempt as silent, which goes on.
+func (g *attemptGroup[T]) handleSilence(ctx context.Context) {
 	if g.primary.onSilent != nil {
 		g.primary.onSilent()
 	}
-	return g.running == 1 && g.mayOverlap() && g.acquireAttempt(&g.service.reruns)
+	g.silentDue = true
+	g.retrySilent(ctx)
+}
+
+// retrySilent starts a retry of the silent primary attempt, if there is a token and no
+// hedge runs that may answer. After the target, the retry must not wait for a slot, as a
+// hedge: while slots are short, they go to calls that can still be answered in time.
+func (g *attemptGroup[T]) retrySilent(ctx context.Context) {
+	if g.silentDue && g.running == 1 && g.mayOverlap() && g.acquireAttempt(&g.service.reruns) {
+		g.silentDue = false
+		g.startAttempt(ctx, time.Now().After(g.call.Target)).silentRetry = true
+	}
 }
 
 func newStoppedTimer() *time.Timer {
@@ -105,6 +116,7 @@
 	if a == g.primary {
 		g.hedgeTimer.Stop() // There is no attempt left that another could overtake.
 		g.silentTimer.Stop()
+		g.silentDue = false
 	}
 	return g.running == 0
 }
--- a/internal/call/retrier/retrier.go
+++ b/internal/call/retrier/retrier.go
@@ -165,6 +165,7 @@
 	hedged        bool                 // With a Limit, the call is hedged once.
 	hedgeTimer    *time.Timer
 	silentTimer   *time.Timer
+	silentDue     bool // primary is silent and no retry has followed.
 }
 
 // result is the result of an attempt.
@@ -192,9 +193,7 @@
 		case s := <-g.sent:
 			g.handleSent(s)
 		case <-g.silentTimer.C:
-			if g.acquireSilentRetry() {
-				g.startAttempt(ctx, time.Now().After(g.call.Target)).silentRetry = true
-			}
+			g.handleSilence(ctx)
 		case res := <-g.results:
 			g.running--
 			if res.err == nil {
@@ -207,8 +206,12 @@
 			} else {
 				err, last = errorToReport(err, res.err), res.err
 			}
-			if ctx.Err() == nil && g.mayRetryNow(res.attempt) && g.acquireRetry(last) {
+			switch {
+			case ctx.Err() != nil:
+			case g.mayRetryNow(res.attempt) && g.acquireRetry(last):
 				g.startAttempt(ctx, false)
+			default:
+				g.retrySilent(ctx)
 			}
 		}
 	}
--- a/internal/instance/runner/call_handler.go
+++ b/internal/instance/runner/call_handler.go
@@ -51,6 +51,9 @@
 	// pausedRefusal returns the refusal of calls of a service all of whose servers want
 	// no calls for some time, or nil; it may be nil.
 	pausedRefusal func(service string) *acquirer.Refusal
+	// hedges reports whether calls are hedged although the retries of the fleet have one
+	// limit; nil means that they are not.
+	hedges func() bool
 }
 
 // issueKeyPath is the path at which callers request a new idempotency key for a
@@ -227,7 +230,7 @@
 // gives hedges no share.
 func (h *callHandler) newRetryCall(active *activeCall) *retrier.Call[*serverResponse] {
 	c := active.call
-	active.hedge = c.Idempotent && active.r.ContentLength == 0 && (h.retrier.Limit == nil || h.retrier.Limit().Hedge > 0)
+	active.hedge = c.Idempotent && active.r.ContentLength == 0 && (h.retrier.Limit == nil || h.hedges != nil && h.hedges())
 	target := c.TargetTime
 	if target.After(c.Deadline) {
 		target = c.Deadline
--- a/internal/instance/runner/components.go
+++ b/internal/instance/runner/components.go
@@ -151,7 +151,7 @@
 	c.handler.sender.InstanceCount, c.handler.sender.Withholder = c.fleetSize, &c.withholder
 	if c.platform != nil {
 		c.handler.responder.Dialect, c.handler.sender.Dialect = c.platform.Dialect, c.platform.Dialect
-		c.handler.retrier.Limit = c.retryLimit
+		c.handler.retrier.Limit, c.handler.hedges = c.retryLimit, c.hedges
 		c.handler.confirmedAt = c.recordWatcher.PublishedAt
 		return
 	}
