Count an answer without a valid status as none

Callers of a server that answered with status 000 lost their connection without an answer, because net/http panics on it in WriteHeader; statuses 600 to 999 were passed on as answers, and the server counted as healthy. A status outside 100 to 599 now ends the attempt as unknown (reason read), also for probes: it counts against the server, idempotent calls are sent again, others get 502.

--- a/internal/call/sender/probe.go
+++ b/internal/call/sender/probe.go
@@ -30,7 +30,7 @@
 		return translator.ResponseMetadata{}, errors.Wrap(err, "probe")
 	}
 	conn.tracked.beginExchange()
-	resp, err := conn.RoundTrip(req)
+	resp, err := roundTrip(conn, req)
 	if err == nil {
 		_, err = io.Copy(io.Discard, io.LimitReader(resp.Body, maxResponseHeaderBytes))
 		_ = resp.Body.Close()
