--- a/cmd/sardinelever/run.go
+++ b/cmd/sardinelever/run.go
@@ -55,9 +55,6 @@
 			return err
 		}
 	}
-	if settings.Collect > 0 {
-		debug.SetGCPercent(settings.Collect)
-	}
 	reloader := &settingsReloader{path: c.Settings, instance: instance, signals: make(chan os.Signal, 1)}
 	signal.Notify(reloader.signals, syscall.SIGHUP)
 	go reloader.reloadOnSignal()
--- a/internal/instance/runner/components.go
+++ b/internal/instance/runner/components.go
@@ -42,7 +42,8 @@
 	metrics         *meter.Metrics
 
 	routingTable   router.TableHolder
-	rebuildMu      sync.Mutex // Serializes updates of routingTable.
+	rebuildMu      sync.Mutex // Serializes updates of routingTable, and guards appliedCollect.
+	appliedCollect int
 	withholder     withholder.Withholder
 	coldSchedule   router.ColdSchedule // Guarded by rebuildMu.
 	audit          auditor.Trail
@@ -284,6 +285,7 @@
 			servers[s.Servers[i].Address] = true
 		}
 	}
+	c.applyCollect(len(servers))
 	c.handler.sender.RetainServers(servers)
 }
 
--- a/internal/route/router/cold.go
+++ b/internal/route/router/cold.go
@@ -21,7 +21,7 @@
 // the time is counted from when the statement was first known here. The zero value is
 // ready to use; it is not safe for concurrent use.
 type ColdSchedule struct {
-	known map[coldKey]ColdStart // Of the servers in the last table.
+	known map[coldKey]ColdStart // Of the servers in the last table that were not warm by their statement.
 }
 
 // coldKey identifies the process of a backend server.
@@ -39,6 +39,12 @@
 		}
 		for i := range service.Servers {
 			b := &service.Servers[i]
+			if b.Cold.remaining <= 0 && b.Cold.started.IsZero() {
+				// Most servers are warm, and the table is rebuilt with each change of the list. A
+				// later date of such a statement changes nothing.
+				b.Cold.date(now, 0)
+				continue
+			}
 			k := coldKey{name, b.Name, b.ProcessStart}
 			if old, ok := c.known[k]; ok && old.isSameStatement(&b.Cold) {
 				b.Cold = old
