Begin the sequence of a traffic split at a random call

A rule is made anew with each table, and its credits began at random values that favour the greatest weight: with 0.75 and 0.25, the first call goes to the first part in 0.875 of the cases. The sequence now begins at a random one of its calls, so each call has the exact share.

--- a/internal/route/router/rule.go
+++ b/internal/route/router/rule.go
@@ -19,9 +19,9 @@
 // PickService returns the service for the next call by smooth weighted round
 // robin: each part is credited with its share of a call, and the part with the
 // highest credit receives the call and is charged for it. The counts of any
-// sequence of calls stay within one call of the exact shares. The initial credits
-// are random, so that instances with few calls do not all start with the part of
-// the greatest weight.
+// sequence of calls stay within one call of the exact shares. The sequence begins
+// at a random call, because a rule is made anew with each table: instances with few calls
+// between two tables would otherwise all start with the part of the greatest weight.
 func (r *Rule) PickService() *Service {
 	if len(r.Services) == 1 {
 		return r.Services[0]
@@ -34,10 +34,19 @@
 	}
 	if r.credits == nil {
 		r.credits = make([]float64, len(r.Parts))
-		for i, p := range r.Parts {
-			r.credits[i] = (rand.Float64() - 0.5) * float64(min(p.Weight, 1))
+		for range rand.IntN(min(max(total, 1), maxSkippedCalls)) {
+			r.pickPart(total)
 		}
 	}
+	return r.Services[r.pickPart(total)]
+}
+
+// maxSkippedCalls bounds the calls that are skipped at the start of a sequence. It is above the
+// usual sum of the weights, which are percentages, after which the sequence repeats.
+const maxSkippedCalls = 1000
+
+// pickPart returns the part that receives the next call; total is the sum of the weights.
+func (r *Rule) pickPart(total int) int {
 	best := -1
 	for i, p := range r.Parts {
 		if p.Weight == 0 {
@@ -49,5 +58,5 @@
 		}
 	}
 	r.credits[best]--
-	return r.Services[best]
+	return best
 }
