Read bodies and answers ahead up to a part of the budget

Many bodies arrive in a moment, before the collector frees the buffers that they replaced. Read-ahead now ends at 65% of the budget of clients. Crowd and bound are unchanged.

--- a/internal/instance/limiter/handler.go
+++ b/internal/instance/limiter/handler.go
@@ -97,13 +97,13 @@
 	}
 }
 
-// MayHold reports whether the budget has room for n more bytes.
+// MayHold reports whether the budget has room for n more bytes that are read ahead.
 func (r *Request) MayHold(n int) bool {
 	if r == nil || r.conn.limiter.Memory == 0 {
 		return true
 	}
 	l := r.conn.limiter
-	return l.held.Load()+int64(n) <= l.Budget()
+	return float64(l.held.Load()+int64(n)) <= aheadFraction*float64(l.Budget())
 }
 
 // Finish ends the request, which then holds nothing.
--- a/internal/instance/limiter/limiter.go
+++ b/internal/instance/limiter/limiter.go
@@ -47,6 +47,9 @@
 	// Connections are closed when more than closeFraction of the budget is in use, until
 	// reliefFraction is. The rest of the budget is room for new callers.
 	closeFraction, reliefFraction = 0.9, 0.8
+	// aheadFraction is the part of the budget up to which bodies and answers are read ahead.
+	// A crowd sends many bodies within a moment, before the collector frees what they replaced.
+	aheadFraction = 0.65
 	// refuseFraction is the part of the budget above which also ordinary requests are
 	// refused, which calls that wait for slots can use up.
 	refuseFraction = 1.25
