--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -5,4 +5,4 @@
 root=$(pwd)
 mkdir -p target
 cd review/lab-2
-GOWORK=off GOFLAGS=-mod=mod go build -o "$root/target/lab2" .
+GOWORK=off GOFLAGS="-buildvcs=false -mod=mod" CGO_ENABLED=0 go build -o "$root/target/lab2" .
