--- a/review/lab-2/configuration.go
+++ b/review/lab-2/configuration.go
@@ -7,7 +7,7 @@
 	"time"
 )
 
-func init() { cases["9"] = playLargeConfiguration }
+func init() { cases["10"] = playLargeConfiguration }
 
 const (
 	// manyRoutes makes a configuration of about 0.93 MB, below ValueBytes.
--- a/review/lab-2/paths.go
+++ b/review/lab-2/paths.go
@@ -9,7 +9,7 @@
 	"time"
 )
 
-func init() { cases["10"] = playPaths }
+func init() { cases["path"] = playPaths }
 
 // pathTime is how long the paths are sent, one each pathGap.
 const (
