Take the configuration record itself as the text of a bundle

Cause: the adapter rewrote the record as TOML, and the keeper held the limit of the store, 1,048,576 bytes, against that text, which is longer than the record.

Evidence: TestLargestConfig with the log printed, on: "config: bundle rejected; the active one stays", "bundle has 1235342 bytes, the limit is 1048576", for a record below the limit.

Change: the text of a bundle is what was published. keeper.Format reads it; the adapter's decodes the record and checks the bundle (parser.CheckBundle) without a text between. The watcher passes the value on, so a malformed configuration is refused by the keeper, with an audit entry, and no longer logged as a malformed record. check and diff hold the limit against the file. The interface of watcher.Decoder changes by one method; the fake one in its tests follows.

Result: TestLargestConfig, five shapes of 1,048,576 bytes: all five failed before, all pass. Tests of config, cmd, runner and platform/reader pass.

--- a/cmd/sardinelever/record_file.go
+++ b/cmd/sardinelever/record_file.go
@@ -35,6 +35,9 @@
 // parseBundle parses f, a bundle or, in the dialect, a configuration record. It returns
 // the bundle and its text, which is not that of f for a record.
 func (d *dialectFlag) parseBundle(f parser.File) (*parser.Bundle, []byte, error) {
+	if err := bundler.CheckBundleSize(f.Text); err != nil {
+		return nil, nil, errors.Wrap(err, f.Name)
+	}
 	text := f.Text
 	if d.isRecord(f.Text) {
 		var err error
@@ -42,9 +45,6 @@
 			return nil, nil, errors.Wrap(err, f.Name)
 		}
 	}
-	if err := bundler.CheckBundleSize(text); err != nil {
-		return nil, nil, errors.Wrap(err, f.Name)
-	}
 	b, err := parser.ParseBundle(f.Name, text)
 	var m *parser.MistakesError
 	if errors.As(err, &m) {
--- a/internal/config/keeper/bundle_store.go
+++ b/internal/config/keeper/bundle_store.go
@@ -33,10 +33,21 @@
 	return fmt.Sprintf("bundle %v from %s is refused: %s", e.Bundle.Version, e.Bundle.Source, e.Bundle.Reason)
 }
 
+// Format is the format in which bundles are published.
+type Format interface {
+	// ParseBundle decodes and checks the text of a bundle and sets defaults. The result
+	// depends on text alone.
+	ParseBundle(text []byte) (*parser.Bundle, error)
+	// ReadVersion returns the version number in text, which need not be a valid bundle; 0
+	// if it cannot be read.
+	ReadVersion(text []byte) uint64
+}
+
 // BundleStore stores the current bundle. The zero value has none. Its methods are safe
-// for concurrent use; Audit is set before the first call.
+// for concurrent use; the exported fields are set before the first call.
 type BundleStore struct {
-	Audit *auditor.Trail
+	Audit  *auditor.Trail
+	Format Format // nil means TOML.
 
 	current     atomic.Pointer[versionedBundle]
 	mu          sync.Mutex // Serializes offers; guards decided and subscribers.
@@ -73,9 +84,13 @@
 		}
 		return false, e
 	}
-	b, err := parseBundle(text)
+	format := s.Format
+	if format == nil {
+		format = tomlFormat{}
+	}
+	b, err := format.ParseBundle(text)
 	if err != nil {
-		return false, s.refuseBundle(RefusedBundle{Time: time.Now(), Version: bundler.Version{Number: readVersionNumber(text), Sum: sum}, Source: source, Reason: err.Error()})
+		return false, s.refuseBundle(RefusedBundle{Time: time.Now(), Version: bundler.Version{Number: format.ReadVersion(text), Sum: sum}, Source: source, Reason: err.Error()})
 	}
 	v := bundler.Version{Number: b.Version, Sum: sum}
 	if old != nil && v.Compare(old.version) <= 0 {
@@ -89,14 +104,6 @@
 	return true, nil
 }
 
-// parseBundle checks the size of text and parses it.
-func parseBundle(text []byte) (*parser.Bundle, error) {
-	if err := bundler.CheckBundleSize(text); err != nil {
-		return nil, err
-	}
-	return parser.ParseBundle("bundle", text)
-}
-
 // refuseBundle records and audits the invalid bundle r and returns the error for it.
 func (s *BundleStore) refuseBundle(r RefusedBundle) error {
 	e := &RefusedError{Bundle: r}
--- a/internal/config/parser/check.go
+++ b/internal/config/parser/check.go
@@ -58,6 +58,25 @@
 // isSet reports whether the file sets the key at path.
 func (c *checker) isSet(path string) bool { return c.index.lineByPath[path] > 0 }
 
+// hasValue reports whether the file sets the key at path, which has value v. A bundle that
+// was not decoded from a file sets all keys whose values are not zero.
+func hasValue[T comparable](c *checker, path string, v T) bool {
+	if c.index == nil {
+		var zero T
+		return v != zero
+	}
+	return c.isSet(path)
+}
+
+// place returns the line of the key at path or, for a bundle that was not decoded from a
+// file, the path.
+func (c *checker) place(path string) string {
+	if c.index == nil {
+		return path
+	}
+	return strconv.Itoa(c.index.lineByPath[path])
+}
+
 // addMistake records a mistake of the value at path, unless one is recorded
 // already. If the file does not set path, the line of the mistake is that of the
 // closest enclosing table that the file has.
@@ -66,24 +85,27 @@
 		return
 	}
 	c.pathsWithMistake[path] = true
-	c.mistakes = append(c.mistakes, Mistake{
-		File: c.file, Line: c.index.closestLine(path), Key: displayPath(path), Path: path, Reason: fmt.Sprintf(format, args...),
-	})
+	m := Mistake{File: c.file, Key: displayPath(path), Path: path, Reason: fmt.Sprintf(format, args...)}
+	if c.index != nil {
+		m.Line = c.index.closestLine(path)
+	}
+	c.mistakes = append(c.mistakes, m)
 }
 
 // requireKey reports whether the file sets the key at path, and records a
-// mistake if it does not.
+// mistake if it does not. A bundle that was not decoded from a file sets all such keys.
 func (c *checker) requireKey(path string) bool {
-	if !c.isSet(path) {
-		c.addMistake(path, "is required")
+	if c.index == nil || c.isSet(path) {
+		return true
 	}
-	return c.isSet(path)
+	c.addMistake(path, "is required")
+	return false
 }
 
 // checkRange records a mistake if the file sets the key at path and v is not
 // between lowest and highest, inclusive.
 func checkRange[T int | float64 | Duration](c *checker, path string, v, lowest, highest T) {
-	if c.isSet(path) && !(v >= lowest && v <= highest) { // The negated form also rejects NaN.
+	if hasValue(c, path, v) && !(v >= lowest && v <= highest) { // The negated form also rejects NaN.
 		c.addMistake(path, "%v is not between %v and %v", printableNumber(v), printableNumber(lowest), printableNumber(highest))
 	}
 }
--- a/internal/config/parser/check_service.go
+++ b/internal/config/parser/check_service.go
@@ -16,7 +16,7 @@
 	if c.requireKey("version") && b.Version == 0 {
 		c.addMistake("version", "must be above 0")
 	}
-	if c.isSet("parent") && b.Parent >= b.Version {
+	if (c.index == nil || c.isSet("parent")) && b.Parent >= b.Version {
 		c.addMistake("parent", "%d is not below version %d", b.Parent, b.Version)
 	}
 	// A bundle without services would stop all services at once, which is
@@ -129,7 +129,7 @@
 		value float64
 	}{{"normal", s.Floors.Normal}, {"patient", s.Floors.Patient}} {
 		path := joinPath(prefix, f.key)
-		if c.isSet(path) && f.value == 0 {
+		if f.value == 0 && hasValue(c, path, f.value) {
 			c.addMistake(path, "0 is not a floor; leave the key out for the default")
 			continue
 		}
@@ -144,7 +144,7 @@
 // checkProbe checks each key that p sets, and that budget and total in effective,
 // which is p with defaults, are at least twice the cost of a probe.
 func (c *checker) checkProbe(prefix string, p, effective Probe) {
-	if c.isSet(joinPath(prefix, "path")) {
+	if hasValue(c, joinPath(prefix, "path"), p.Path) {
 		c.checkPath(joinPath(prefix, "path"), p.Path)
 	}
 	lowest, highest := Duration(time.Microsecond), Duration(time.Second)
@@ -210,5 +210,5 @@
 		c.addMistake(path, "%s is already defined at %s", subject, location)
 		return
 	}
-	defined[subject] = c.file + ":" + strconv.Itoa(c.index.lineByPath[path])
+	defined[subject] = c.file + ":" + c.place(path)
 }
--- a/internal/config/parser/decode.go
+++ b/internal/config/parser/decode.go
@@ -33,15 +33,24 @@
 	if err := c.asError(); err != nil {
 		return nil, err
 	}
-	for i := range b.Services {
-		b.Services[i] = b.Services[i].WithDefaults()
-	}
-	for i := range b.Rules {
-		b.Rules[i] = b.Rules[i].WithDefaults()
-	}
+	b.setDefaults()
 	return b, nil
 }
 
+// CheckBundle checks b, which was made from another format than TOML, and sets its
+// defaults; name is the name used in errors. Zero values count as keys that are not set. The
+// result is that of ParseBundle for the text of FormatBundle, which can be many times as long
+// as the one that b was made from. The error is a *MistakesError.
+func CheckBundle(name string, b *Bundle) error {
+	c := &checker{file: name, pathsWithMistake: make(map[string]bool)}
+	c.checkBundle(b)
+	if err := c.asError(); err != nil {
+		return err
+	}
+	b.setDefaults()
+	return nil
+}
+
 // ParseService decodes and checks one service file. It applies no defaults: keys
 // that the file does not set stay zero. The error is a *MistakesError.
 func ParseService(file string, text []byte) (*Service, error) {
@@ -96,7 +105,7 @@
 // elements that lead to it, for example services.0.routes.1.rank.
 type checker struct {
 	file             string
-	index            *keyIndex
+	index            *keyIndex       // nil for a bundle that was not decoded from a file.
 	pathsWithMistake map[string]bool // Paths for which a mistake is recorded.
 	decodeFailed     bool            // The file was not decoded completely, so its values are not checked.
 	mistakes         []Mistake
--- a/internal/config/parser/defaults.go
+++ b/internal/config/parser/defaults.go
@@ -39,6 +39,16 @@
 // directions.
 const minProbePeriod = time.Second + 2*100*time.Millisecond
 
+// setDefaults gives every key of the services and rules of b a value.
+func (b *Bundle) setDefaults() {
+	for i := range b.Services {
+		b.Services[i] = b.Services[i].WithDefaults()
+	}
+	for i := range b.Rules {
+		b.Rules[i] = b.Rules[i].WithDefaults()
+	}
+}
+
 // WithDefaults returns a copy of s in which every key has a value.
 func (s Service) WithDefaults() Service {
 	setDefault(&s.Connections, DefaultConnections)
--- a/internal/instance/runner/components.go
+++ b/internal/instance/runner/components.go
@@ -88,6 +88,7 @@
 
 func (c *components) initPlatform() {
 	if c.platform != nil {
+		c.bundleStore.Format = c.platform.Format
 		c.recordWatcher = watcher.Watcher{
 			Store: c.platform.Store, Decoder: c.platform.Decoder, Name: c.settings.Name, Zone: c.settings.Zone, Region: c.settings.Region,
 			HasSeeds: len(c.settings.Seeds) > 0, Bootstrap: c.settings.Bootstrap,
--- a/internal/instance/runner/instance.go
+++ b/internal/instance/runner/instance.go
@@ -14,6 +14,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"sardinelever.example/sardinelever/internal/call/translator"
+	"sardinelever.example/sardinelever/internal/config/keeper"
 	"sardinelever.example/sardinelever/internal/config/parser"
 	"sardinelever.example/sardinelever/internal/instance/limiter"
 	"sardinelever.example/sardinelever/internal/platform/watcher"
@@ -48,6 +49,7 @@
 type PlatformAdapter struct {
 	Store   watcher.Store
 	Decoder watcher.Decoder
+	Format  keeper.Format // Format of the bundles in the records.
 	Dialect translator.Dialect
 	// Evacuates is set if the operator may evacuate zones, so that requests wait for
 	// confirmed records after a start or a long pause.
--- a/internal/platform/watcher/publication.go
+++ b/internal/platform/watcher/publication.go
@@ -77,8 +77,7 @@
 
 // offerBundle passes the bundle in r, if any, to BundleSink.
 func (w *Watcher) offerBundle(r Record) {
-	text, err := w.Decoder.DecodeBundle(r)
-	w.logMalformed(r, err)
+	text := w.Decoder.BundleText(r)
 	if text == nil {
 		return
 	}
--- a/internal/platform/watcher/record.go
+++ b/internal/platform/watcher/record.go
@@ -63,9 +63,9 @@
 
 // Decoder decodes the values of records.
 type Decoder interface {
-	// DecodeBundle returns the text of the configuration bundle in r, or nil when r
-	// holds none.
-	DecodeBundle(r Record) ([]byte, error)
+	// BundleText returns the text of the configuration bundle in r, or nil when r holds
+	// none. Whoever receives the bundles checks them.
+	BundleText(r Record) []byte
 	// DecodeEntry returns the backend server that r describes; ok is false when r
 	// describes none.
 	DecodeEntry(r Record) (e reader.Entry, ok bool, err error)
--- a/internal/platform/watcher/watcher_test.go
+++ b/internal/platform/watcher/watcher_test.go
@@ -146,11 +146,11 @@
 // backend server.
 type fakeDecoder struct{}
 
-func (fakeDecoder) DecodeBundle(r watcher.Record) ([]byte, error) {
+func (fakeDecoder) BundleText(r watcher.Record) []byte {
 	if r.Key != "config" {
-		return nil, nil
+		return nil
 	}
-	return fmt.Appendf(nil, "%s %d", r.Value, r.Revision), nil
+	return fmt.Appendf(nil, "%s %d", r.Value, r.Revision)
 }
 
 func (fakeDecoder) DecodeEntry(r watcher.Record) (reader.Entry, bool, error) {
