Send long lists of records in pieces

Callers saw: with a configuration near 1 MiB, or beside the records of 2,000 backend servers, an instance that starts while the store turns it away never became ready, and over a link of 10 Mbit/s a new configuration did not arrive.

Cause: a feed carried all records in one message of at most 1 MiB + 64 KiB, and each end waited 500 ms for all of it.

Change: records of more than 32 KiB are deflated and go ahead of their message in pieces of 8 KiB, each with a time of its own. The age of the records is that at the end of the transfer. The packed form is kept for the next follower that lacks the same records. Only followers that say so get pieces. A receiver takes 16 MiB at most, before and after they are inflated.

--- a/internal/platform/watcher/age_test.go
+++ b/internal/platform/watcher/age_test.go
@@ -32,6 +32,9 @@
 	ctx     context.Context
 	stop    context.CancelFunc
 	running sync.WaitGroup
+
+	linkRate int                             // Bytes in each second on a feed; 0 means no limit.
+	prepare  func(i int, w *watcher.Watcher) // Changes the watcher of instance i before it runs; nil means none.
 }
 
 // node returns the instance with index i.
@@ -92,6 +95,9 @@
 		Store: x, Decoder: fakeDecoder{}, Name: f.members[i].Name, Zone: f.members[i].Zone, Region: "r", Fleet: f, StreamOpener: x, BundleSink: new(bundleRecorder), Log: &discardLogger,
 	}
 	x.ctx, x.stop = context.WithCancel(f.ctx)
+	if f.prepare != nil {
+		f.prepare(i, x.Watcher)
+	}
 }
 
 func (f *zonedFleet) UsableMembers(_, _ string) []registrar.Member { return f.members }
@@ -155,7 +161,11 @@
 	}
 	a, b := net.Pipe()
 	y.fleet.running.Add(1)
-	go y.runStream(&lossyConn{b, x, y})
+	var served net.Conn = &lossyConn{b, x, y}
+	if rate := x.fleet.linkRate; rate > 0 {
+		served = &slowLinkConn{served, rate}
+	}
+	go y.runStream(served)
 	return &lossyConn{a, x, y}, nil
 }
 
--- a/internal/platform/watcher/doc.go
+++ b/internal/platform/watcher/doc.go
@@ -26,4 +26,5 @@
 // the revision up to which they are complete and applied (At), the time in nanoseconds since
 // the store confirmed that (Age) and the instance to which it did (Reader). A standby
 // feed has no changes; its follower subscribes to them when At is ahead of what it knows.
+// Many records go ahead of their message in pieces, which are parts of their deflated form.
 package watcher
--- a/internal/platform/watcher/feed.go
+++ b/internal/platform/watcher/feed.go
@@ -4,11 +4,15 @@
 	"bufio"
 	"math"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"sardinelever.example/sardinelever/internal/fleet/connector"
 	"sardinelever.example/sardinelever/internal/fleet/messenger"
+	"sardinelever.example/sardinelever/internal/instance/detector"
 )
 
 // feedServer sends the records to one follower.
@@ -64,13 +68,15 @@
 	period := time.NewTimer(feedPeriod)
 	defer period.Stop()
 	for {
-		message, lastSequence, changed := f.watcher.nextFeedMessage(subscription, sequence)
-		_ = f.conn.SetWriteDeadline(time.Now().Add(feedTimeout))
-		if err := messenger.WriteMessage(f.conn, message); err != nil {
+		message, changed := f.watcher.nextFeedMessage(subscription, sequence)
+		if err := f.send(message, subscription.GetPieces()); err != nil {
+			if errors.Is(err, errTooManyRecords) {
+				f.watcher.Log.Error().Err(err).Msg("platform: records not sent to another instance")
+			}
 			return
 		}
 		if !subscription.GetStandby() {
-			sequence = lastSequence
+			sequence = message.contents.last
 		}
 		period.Reset(feedPeriod)
 		select {
@@ -89,31 +95,74 @@
 	}
 }
 
+// feedMessage is a message of a feed with its records, which are part of it or sent in
+// pieces.
+type feedMessage struct {
+	*messenger.Feed
+	contents contents
+	at       time.Time // Time as of which the message gives the age of the records.
+}
+
+// send sends m, with its records ahead in pieces if they are large and the follower takes
+// pieces.
+func (f *feedServer) send(m *feedMessage, pieces bool) error {
+	if pieces && recordsSize(m.Records) > maxPlainBytes {
+		packed, err := f.watcher.packer.pack(m.contents, m.Records)
+		if err != nil {
+			return err
+		}
+		for piece := range slices.Chunk(packed, pieceBytes) {
+			if err := f.write(&messenger.Feed{Piece: piece}); err != nil {
+				return err
+			}
+		}
+		m.Records = nil
+		m.Age += int64(detector.Elapsed(m.at, time.Now()))
+	}
+	return f.write(m.Feed)
+}
+
+func (f *feedServer) write(m *messenger.Feed) error {
+	_ = f.conn.SetWriteDeadline(time.Now().Add(feedTimeout))
+	return messenger.WriteMessage(f.conn, m)
+}
+
 // nextFeedMessage returns the message with the changes after the revision of the
 // subscription or, when sequence is above 0, after the change with that number (see
 // Table.sequence). As long as the store has not confirmed the records, the message has
-// none of them and lastSequence is 0; changed is closed at the next change.
-func (w *Watcher) nextFeedMessage(s *messenger.Subscribe, sequence uint64) (message *messenger.Feed, lastSequence uint64, changed <-chan struct{}) {
+// none of them and the last sequence is 0; changed is closed at the next change.
+func (w *Watcher) nextFeedMessage(s *messenger.Subscribe, sequence uint64) (m *feedMessage, changed <-chan struct{}) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	_, loaded := w.table.Position()
 	if !loaded || w.table.ConfirmedAt().IsZero() {
 		// Records of a stale first read are not passed on.
-		return &messenger.Feed{Age: math.MaxInt64, Standby: true}, 0, w.changed
+		return &feedMessage{Feed: &messenger.Feed{Age: math.MaxInt64, Standby: true}}, w.changed
 	}
-	age := time.Since(w.table.ConfirmedAt())
+	now := time.Now()
+	age := now.Sub(w.table.ConfirmedAt())
 	if w.storeFailing.Load() && w.confirmedBy == w.Name {
 		age = max(age, staleAge) // The next confirmation will not come from the store.
 	}
 	position := w.table.AppliedPosition()
-	message = &messenger.Feed{Epoch: position.Epoch, At: position.Revision, Age: int64(age), Standby: s.GetStandby(), Reader: w.confirmedBy}
+	m = &feedMessage{
+		Feed: &messenger.Feed{Epoch: position.Epoch, At: position.Revision, Age: int64(age), Standby: s.GetStandby(), Reader: w.confirmedBy},
+		at:   now,
+	}
 	if s.GetStandby() {
-		return message, 0, w.changed
+		return m, w.changed
+	}
+	after := Position{s.GetEpoch(), s.GetAfter()}
+	records, last, full := w.table.ChangesSince(after, sequence)
+	m.Full, m.contents = full, contents{after: after, sequence: sequence, last: last, at: position, full: full}
+	if full || sequence > 0 {
+		m.contents.after = Position{}
+	}
+	if full {
+		m.contents.sequence = 0
 	}
-	var records []Record
-	records, lastSequence, message.Full = w.table.ChangesSince(Position{s.GetEpoch(), s.GetAfter()}, sequence)
 	for _, r := range records {
-		message.Records = append(message.Records, &messenger.Record{Key: r.Key, Value: r.Value, Revision: r.Revision, Deleted: r.Deleted, Outlives: r.OutlivesCopy})
+		m.Records = append(m.Records, &messenger.Record{Key: r.Key, Value: r.Value, Revision: r.Revision, Deleted: r.Deleted, Outlives: r.OutlivesCopy})
 	}
-	return message, lastSequence, w.changed
+	return m, w.changed
 }
--- a/internal/platform/watcher/follower.go
+++ b/internal/platform/watcher/follower.go
@@ -89,9 +89,33 @@
 	}
 }
 
-// readFeedMessage reads the next message. A message that was read late may have waited
-// while this process stood still, so its age says nothing.
+// readFeedMessage reads the next message, with its records if they come in pieces.
 func readFeedMessage(conn net.Conn, in *bufio.Reader) (*messenger.Feed, error) {
+	var packed []byte
+	for start := time.Now(); ; {
+		message, err := readPiece(conn, in)
+		if err != nil {
+			return nil, err
+		}
+		piece := message.GetPiece()
+		switch {
+		case len(piece) == 0 && len(packed) == 0:
+			return message, nil
+		case len(piece) == 0:
+			message.Records, err = unpackRecords(packed)
+			return message, errors.Wrap(err, "feed")
+		case len(packed)+len(piece) > maxPiecesBytes:
+			return nil, errors.Wrap(errTooManyRecords, "feed")
+		case time.Since(start) > piecesTimeout:
+			return nil, errors.Wrapf(errFeedEnded, "records of one message took more than %v", piecesTimeout)
+		}
+		packed = append(packed, piece...)
+	}
+}
+
+// readPiece reads one message. A message that was read late may have waited while this
+// process stood still, so its age says nothing.
+func readPiece(conn net.Conn, in *bufio.Reader) (*messenger.Feed, error) {
 	start := time.Now()
 	_ = conn.SetReadDeadline(start.Add(feedTimeout))
 	message := new(messenger.Feed)
@@ -112,7 +136,7 @@
 		r.deliveredUpTo = position.Revision
 	}
 	_ = conn.SetWriteDeadline(time.Now().Add(feedTimeout))
-	return messenger.WriteMessage(conn, &messenger.Subscribe{Epoch: position.Epoch, After: position.Revision, Standby: mode == noRecords})
+	return messenger.WriteMessage(conn, &messenger.Subscribe{Epoch: position.Epoch, After: position.Revision, Standby: mode == noRecords, Pieces: true})
 }
 
 // subscription returns the position after which the feed is to carry the records, and what
--- a/internal/platform/watcher/fuzz_test.go
+++ b/internal/platform/watcher/fuzz_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"compress/flate"
 	"context"
 	"io"
 	"net"
@@ -58,6 +59,14 @@
 	var subscribe bytes.Buffer
 	_ = messenger.WriteMessage(&subscribe, &messenger.Subscribe{After: 1 << 63, Standby: true})
 	f.Add(subscribe.Bytes())
+	var pieces, packed bytes.Buffer
+	w, _ := flate.NewWriter(&packed, flate.BestSpeed)
+	_, _ = w.Write([]byte("\n\x07\n\x05s/one"))
+	_ = w.Close()
+	for _, m := range []*messenger.Feed{{Piece: packed.Bytes()[:3]}, {Piece: packed.Bytes()[3:]}, {At: 3, Full: true, Reader: "source"}} {
+		_ = messenger.WriteMessage(&pieces, m)
+	}
+	f.Add(pieces.Bytes())
 	f.Add([]byte(strings.Repeat("\xff", 20)))
 	f.Fuzz(func(t *testing.T, b []byte) {
 		before := recoverer.Count()
--- a/internal/platform/watcher/watcher.go
+++ b/internal/platform/watcher/watcher.go
@@ -64,6 +64,8 @@
 	// published in order and none is skipped.
 	updateMu sync.Mutex
 
+	packer recordPacker
+
 	latestList     atomic.Pointer[reader.List]
 	callCount      atomic.Int64
 	storeFailing   atomic.Bool
@@ -123,6 +125,9 @@
 	// maxReadTime is the longest time between the start of a read, whose deadline is
 	// feedTimeout, and its result in a process that runs.
 	maxReadTime = 2 * feedTimeout
+	// piecesTimeout is the time for all pieces of one message. At 10 Mbit/s, 15 followers
+	// of one instance get 1 MiB each in 13 s.
+	piecesTimeout = 15 * time.Second
 	// feedPeriod is the time between two messages of a feed while nothing changes.
 	feedPeriod = 200 * time.Millisecond
 	// standbyDelay is the time after a change within which the other feed of the
--- a/internal/platform/watcher/watcher_test.go
+++ b/internal/platform/watcher/watcher_test.go
@@ -55,11 +55,13 @@
 	return &fakeStore{records: make(map[string]watcher.Record), changed: make(chan struct{})}
 }
 
-func (s *fakeStore) putRecord(key string, deleted bool) {
+func (s *fakeStore) putRecord(key string, deleted bool) { s.put(key, []byte(key), deleted) }
+
+func (s *fakeStore) put(key string, value []byte, deleted bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.revision++
-	s.records[key] = watcher.Record{Key: key, Value: []byte(key), Revision: s.revision, Deleted: deleted}
+	s.records[key] = watcher.Record{Key: key, Value: value, Revision: s.revision, Deleted: deleted}
 	close(s.changed)
 	s.changed = make(chan struct{})
 }
