Let responses of the store take as long as bytes arrive

Callers saw: an instance with a link of 10 Mbit/s, as on the grown sites, that reads the store itself got no configuration near 1 MiB, neither at its start nor as a change.

Cause: a read had 1 s, and a watch its wait and 300 ms, for the whole response. 1 MiB in base64 takes 1.1 s at 10 Mbit/s.

Change: the deadline of a call applies until the body of the response begins to arrive. A watch whose response took longer than it may to begin confirms the records as of its request.

--- a/internal/platform/watcher/record.go
+++ b/internal/platform/watcher/record.go
@@ -49,7 +49,8 @@
 	Next string // Key after which the next page begins; empty at the end.
 }
 
-// Store reads the platform's store.
+// Store reads the platform's store. The deadline of a context is that for the begin of the
+// response.
 type Store interface {
 	// ReadPage returns the records whose keys follow after, or the first ones when
 	// it is empty, as many as the store sends at once. With stale set the result is
--- a/internal/platform/watcher/store_calls.go
+++ b/internal/platform/watcher/store_calls.go
@@ -122,8 +122,11 @@
 	}
 	b.After = known.Revision
 	c := confirmation{time.Now(), w.Name, b.Epoch}
-	if detector.Elapsed(start, c.at) > 2*(timeout+watchResponseMargin) {
+	switch took := detector.Elapsed(start, c.at); {
+	case took > 2*(timeout+watchResponseMargin):
 		c.by = "" // The process stood still; the store may have answered long ago.
+	case took > timeout+watchResponseMargin:
+		c.at = start // The response took long to arrive.
 	}
 	w.updateTable(c, func(now time.Time) []Record { return w.table.ApplyChanges(now, b) })
 	if len(b.Records) > 0 {
--- a/internal/platform/watcher/watcher.go
+++ b/internal/platform/watcher/watcher.go
@@ -105,7 +105,7 @@
 
 const (
 	// watchTimeout is the time for which the store waits for changes, and
-	// watchResponseMargin the time in which its response must then arrive. A broken
+	// watchResponseMargin the time in which its response must then begin to arrive. A broken
 	// connection is noticed within their sum, which leaves time to use another
 	// source within the 2 s in which a new configuration must take effect.
 	watchTimeout        = 700 * time.Millisecond
@@ -114,7 +114,8 @@
 	// takes over from others. An instance without contact to the store thus notices
 	// that within firstWatchTimeout + watchResponseMargin.
 	firstWatchTimeout = 20 * time.Millisecond
-	// rangeTimeout is the timeout of a read of one page of records.
+	// rangeTimeout is the time in which the response with one page of records must begin
+	// to arrive.
 	rangeTimeout = time.Second
 	// watchSpacing is the delay between a change and the next watch, so that one
 	// watch returns several changes in quick succession.
