Ask for the sections of a large bundle in several messages

Callers saw: with the project's own formats, a bundle below 1 MiB with many services stays on the instances that read it from the platform; the others keep the one before.

Cause: a pull asks for all missing sections at once, 8 bytes each. An instance takes 64 KiB unasked, so it closes the stream of one that asks for more than 8,000; and the lengths of so many sections exceed the 64 KiB that an answer may have beside 1 MiB of text.

Change: at most 4,096 sections in one message; the stream and the time for the pull stay the same.

Result: TestLargestBundle passes; the package's tests pass with the race detector.

--- a/internal/fleet/distributor/pull.go
+++ b/internal/fleet/distributor/pull.go
@@ -4,7 +4,9 @@
 	"bufio"
 	"context"
 	"math/rand/v2"
+	"net"
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -134,6 +136,41 @@
 	return nil
 }
 
+// maxPullSums is the number of sections that one message asks for. Their sums take 32 KiB,
+// half of what an instance accepts unasked, and the lengths of the sections in the answer less.
+const maxPullSums = 4096
+
+// puller pulls the bundle of one peer over a stream.
+type puller struct {
+	conn net.Conn
+	in   *bufio.Reader
+}
+
+// send sends p and returns the answer.
+func (u *puller) send(p *messenger.Pull) (*messenger.Control, error) {
+	if err := messenger.WriteMessage(u.conn, &messenger.Control{Kind: &messenger.Control_Pull{Pull: p}}); err != nil {
+		return nil, err
+	}
+	c := new(messenger.Control)
+	return c, messenger.ReadMessage(u.in, c)
+}
+
+// fetchSections returns the sections of version v with the given sums.
+func (u *puller) fetchSections(v bundler.Version, sums []uint64) (sections [][]byte, err error) {
+	for part := range slices.Chunk(sums, maxPullSums) {
+		c, err := u.send(&messenger.Pull{Version: versionMessage(v), Sums: part})
+		if err != nil {
+			return nil, err
+		}
+		texts := c.GetSections().GetTexts()
+		if len(texts) == 0 {
+			return nil, ErrPeerBusy
+		}
+		sections = append(sections, texts...)
+	}
+	return sections, nil
+}
+
 // fetchBundle fetches the bundle of a peer and returns its version and text. The
 // text is nil if the version is not higher than the one in force or was refused.
 func (d *Distributor) fetchBundle(ctx context.Context, peer netip.AddrPort) (bundler.Version, []byte, error) {
@@ -148,15 +185,8 @@
 	_ = conn.SetDeadline(deadline)
 	stop := context.AfterFunc(ctx, func() { _ = conn.SetDeadline(time.Now()) })
 	defer stop()
-	r := bufio.NewReader(conn)
-	sendPull := func(p *messenger.Pull) (*messenger.Control, error) {
-		if err := messenger.WriteMessage(conn, &messenger.Control{Kind: &messenger.Control_Pull{Pull: p}}); err != nil {
-			return nil, err
-		}
-		c := new(messenger.Control)
-		return c, messenger.ReadMessage(r, c)
-	}
-	c, err := sendPull(new(messenger.Pull))
+	u := &puller{conn: conn, in: bufio.NewReader(conn)}
+	c, err := u.send(new(messenger.Pull))
 	if err != nil {
 		return bundler.Version{}, nil, err
 	}
@@ -172,14 +202,9 @@
 	if v.Compare(own) <= 0 || d.isRefused(v) {
 		return v, nil, nil
 	}
-	var received [][]byte
-	if missing := d.Sections.FindMissing(m.GetSums(), have); len(missing) > 0 {
-		if c, err = sendPull(&messenger.Pull{Version: versionMessage(v), Sums: missing}); err != nil {
-			return v, nil, err
-		}
-		if received = c.GetSections().GetTexts(); len(received) == 0 {
-			return v, nil, ErrPeerBusy
-		}
+	received, err := u.fetchSections(v, d.Sections.FindMissing(m.GetSums(), have))
+	if err != nil {
+		return v, nil, err
 	}
 	text, err := d.assembleBundle(v, m.GetSums(), have, received)
 	return v, text, err
