Take the failure of a write for the end of a response

Cause: the kernel reports the failure of a socket once. If the write of the upload gets it, the read of the body finds an ordinary end of the stream, which ends a body without a length.

Change: when a read finds the end, a write in progress is made to return, and its error, or that of an earlier write, takes the place of the end. EPIPE and a passed deadline do not: the server's own end had arrived, or nothing failed.

--- a/internal/call/sender/tracked_conn.go
+++ b/internal/call/sender/tracked_conn.go
@@ -1,9 +1,13 @@
 package sender
 
 import (
+	"io"
 	"net"
+	"os"
 	"sync"
 	"sync/atomic"
+	"syscall"
+	"time"
 
 	"github.com/pkg/errors"
 )
@@ -18,6 +22,10 @@
 // connection may be reused: when the exchange has ended and the HTTP client has
 // called Read again. A client that still buffers bytes after the response does
 // not call Read, so these bytes never become the response to the next call.
+//
+// The kernel reports the failure of a connection once. When a Write gets it, a Read finds
+// an ordinary end of the stream, which would complete a body without a length. Read
+// therefore returns the failure of a Write in place of io.EOF.
 type trackedConn struct {
 	net.Conn
 	onReusable func() // Called when the connection may be reused.
@@ -28,6 +36,9 @@
 	writesStopped atomic.Bool
 	closeOnce     sync.Once
 
+	writeMu  sync.Mutex // Held during a Write.
+	writeErr error      // First error of a Write; guarded by writeMu.
+
 	mu              sync.Mutex
 	writtenBefore   int64 // Value of bytesWritten when the connection became reusable or the exchange began, whichever was last.
 	gotResponseByte bool  // At least one byte of the response has arrived.
@@ -40,10 +51,28 @@
 // have sent some of them.
 func (c *trackedConn) Write(p []byte) (int, error) {
 	c.bytesWritten.Add(int64(len(p)))
+	c.writeMu.Lock()
+	defer c.writeMu.Unlock()
 	if c.writesStopped.Load() {
 		return 0, errAttemptEnded
 	}
-	return c.Conn.Write(p)
+	n, err := c.Conn.Write(p)
+	if c.writeErr == nil {
+		c.writeErr = err
+	}
+	return n, err
+}
+
+// endError returns io.EOF if the backend server has ended the stream, and otherwise the
+// error of the Write that learned why the connection failed.
+func (c *trackedConn) endError() error {
+	_ = c.Conn.SetWriteDeadline(time.Unix(1, 0)) // A Write in progress returns with what it has learned.
+	c.writeMu.Lock()
+	defer c.writeMu.Unlock()
+	if c.writeErr == nil || errors.Is(c.writeErr, syscall.EPIPE) || errors.Is(c.writeErr, os.ErrDeadlineExceeded) {
+		return io.EOF // EPIPE is the answer to a write after the end of the stream has arrived.
+	}
+	return errors.Wrap(c.writeErr, "connection failed before the end of the response")
 }
 
 // Read returns errUnsolicited for bytes that arrive before the exchange has
@@ -53,6 +82,9 @@
 		c.onReusable()
 	}
 	n, err := c.Conn.Read(p)
+	if err == io.EOF {
+		err = c.endError()
+	}
 	c.bytesRead.Add(int64(n))
 	c.mu.Lock()
 	defer c.mu.Unlock()
