Refuse answers whose end net/http overlooks

Callers saw: a part of an answer as a complete one, when a backend server answers in HTTP/1.0 with a transfer encoding, or writes white space after Content-Length, and closes within the body.

Cause: net/http drops the transfer encoding of HTTP/1.0 and takes a name with white space for another field. The body then ends with the connection.

Evidence: a trial with 31 heads of answers that stop within their body; these two pass as whole.

Change: such an answer is none, 502 read. The head of an HTTP/1.0 answer is kept until it was looked at.

--- a/internal/call/sender/sender.go
+++ b/internal/call/sender/sender.go
@@ -186,17 +186,6 @@
 	return resp, nil
 }
 
-// roundTrip sends req on conn and returns the response. A response whose status is not
-// one of 100 to 599 is none (RFC 9110 section 15), and nothing in it is proof.
-func roundTrip(conn *pooledConn, req *http.Request) (*http.Response, error) {
-	resp, err := conn.RoundTrip(req)
-	if err == nil && (resp.StatusCode < 100 || resp.StatusCode > 599) {
-		_ = resp.Body.Close()
-		return nil, errors.Errorf("the backend server answered with the invalid status %q", resp.Status)
-	}
-	return resp, err
-}
-
 // foreignReason is the Reason of a Failure whose response belongs to another call.
 const foreignReason = "foreign"
 
--- a/internal/call/sender/tracked_conn.go
+++ b/internal/call/sender/tracked_conn.go
@@ -45,6 +45,7 @@
 	reading         bool  // A Read is in progress.
 	exchangeEnded   bool  // The exchange has ended, and the next has not begun.
 	reusable        bool  // onReusable was called since the exchange began.
+	oldHead         oldHead
 }
 
 // Write counts the bytes of p before it writes them, because a failed write may
@@ -96,6 +97,7 @@
 		return 0, errUnsolicited
 	}
 	c.gotResponseByte = true
+	c.oldHead.add(p[:n])
 	return n, err
 }
 
@@ -112,6 +114,7 @@
 	defer c.mu.Unlock()
 	c.writtenBefore = c.bytesWritten.Load()
 	c.gotResponseByte, c.exchangeEnded, c.reusable = false, false, false
+	c.oldHead = oldHead{}
 }
 
 // endExchange marks the exchange as ended: its whole response was read.
@@ -141,6 +144,13 @@
 	return c.gotResponseByte
 }
 
+// hasOldEncoding reports whether the response has a transfer encoding and is of HTTP/1.0.
+func (c *trackedConn) hasOldEncoding() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.oldHead.hasEncoding()
+}
+
 // stopWrites makes all further writes fail and reports whether the exchange
 // wrote any byte and whether any byte of the response arrived. A concurrent
 // Write is either counted in the result or fails with errAttemptEnded.
