Deflate the sections of large bundles

Callers saw: nothing in a deployment. In a trial with twelve processes each change of a configuration of 1 MiB cost 1 MiB of control messages at nearly every instance, which pulled from its neighbours what the feed brought with 0.12 MB. That fills a link of 10 Mbit/s for 0.8 s for each of up to six neighbours.

Cause: sections were sent as they are.

Change: sections of 32 KiB and more are deflated if the pull says that its sender takes that; instances of earlier releases get them as before. What the feed does is shared: messenger.Deflate and Inflate, with a limit on both sides.

--- a/internal/fleet/distributor/largest_test.go
+++ b/internal/fleet/distributor/largest_test.go
@@ -65,5 +65,8 @@
 			got, _ := x.store.CurrentSections()
 			return got == want
 		})
+		if got := x.Connector.Stats().BytesByKind[connector.ControlStream].In; got > uint64(len(text)/2) {
+			t.Errorf("got %d bytes of control streams at %s for a bundle of %d bytes, want it deflated", got, x.Name, len(text))
+		}
 	}
 }
--- a/internal/fleet/distributor/pull.go
+++ b/internal/fleet/distributor/pull.go
@@ -85,13 +85,18 @@
 	for _, sum := range p.GetSums() {
 		wanted[sum] = true
 	}
-	out := &messenger.Sections{Version: versionMessage(v)}
+	out, size := &messenger.Sections{Version: versionMessage(v)}, 0
 	for i, sum := range sums {
 		if wanted[sum] {
-			out.Texts = append(out.Texts, sections[i])
+			out.Texts, size = append(out.Texts, sections[i]), size+len(sections[i])
 			delete(wanted, sum)
 		}
 	}
+	if p.GetDeflated() && size >= messenger.DeflateFrom {
+		if deflated, err := messenger.Deflate(out, messenger.MaxMessageBytes); err == nil {
+			out = &messenger.Sections{Deflated: deflated}
+		}
+	}
 	return &messenger.Control{Kind: &messenger.Control_Sections{Sections: out}}
 }
 
@@ -158,11 +163,18 @@
 // fetchSections returns the sections of version v with the given sums.
 func (u *puller) fetchSections(v bundler.Version, sums []uint64) (sections [][]byte, err error) {
 	for part := range slices.Chunk(sums, maxPullSums) {
-		c, err := u.send(&messenger.Pull{Version: versionMessage(v), Sums: part})
+		c, err := u.send(&messenger.Pull{Version: versionMessage(v), Sums: part, Deflated: true})
 		if err != nil {
 			return nil, err
 		}
-		texts := c.GetSections().GetTexts()
+		answer := c.GetSections()
+		if deflated := answer.GetDeflated(); len(deflated) > 0 {
+			answer = new(messenger.Sections)
+			if err := messenger.Inflate(deflated, answer, messenger.MaxMessageBytes); err != nil {
+				return nil, errors.WithMessage(err, "sections")
+			}
+		}
+		texts := answer.GetTexts()
 		if len(texts) == 0 {
 			return nil, ErrPeerBusy
 		}
--- a/internal/platform/watcher/feed.go
+++ b/internal/platform/watcher/feed.go
@@ -70,7 +70,7 @@
 	for {
 		message, changed := f.watcher.nextFeedMessage(subscription, sequence)
 		if err := f.send(message, subscription.GetPieces()); err != nil {
-			if errors.Is(err, errTooManyRecords) {
+			if errors.Is(err, messenger.ErrInvalidMessage) {
 				f.watcher.Log.Error().Err(err).Msg("platform: records not sent to another instance")
 			}
 			return
@@ -106,7 +106,7 @@
 // send sends m, with its records ahead in pieces if they are large and the follower takes
 // pieces.
 func (f *feedServer) send(m *feedMessage, pieces bool) error {
-	if pieces && recordsSize(m.Records) > maxPlainBytes {
+	if pieces && recordsSize(m.Records) >= messenger.DeflateFrom {
 		packed, err := f.watcher.packer.pack(m.contents, m.Records)
 		if err != nil {
 			return err
--- a/internal/platform/watcher/follower.go
+++ b/internal/platform/watcher/follower.go
@@ -105,7 +105,7 @@
 			message.Records, err = unpackRecords(packed)
 			return message, errors.Wrap(err, "feed")
 		case len(packed)+len(piece) > maxPiecesBytes:
-			return nil, errors.Wrap(errTooManyRecords, "feed")
+			return nil, errors.Wrapf(errFeedEnded, "records of one message have more than %d bytes", maxPiecesBytes)
 		case time.Since(start) > piecesTimeout:
 			return nil, errors.Wrapf(errFeedEnded, "records of one message took more than %v", piecesTimeout)
 		}
--- a/internal/platform/watcher/pieces.go
+++ b/internal/platform/watcher/pieces.go
@@ -1,20 +1,14 @@
 package watcher
 
 import (
-	"bytes"
-	"compress/flate"
-	"io"
 	"sync"
 
 	"github.com/pkg/errors"
-	"google.golang.org/protobuf/proto"
 
 	"sardinelever.example/sardinelever/internal/fleet/messenger"
 )
 
 const (
-	// maxPlainBytes is the size of the records that are sent inside their message.
-	maxPlainBytes = 32 << 10
 	// pieceBytes is the size of a piece. The sender and the receiver wait for feedTimeout
 	// for each one: an instance that sends to 32 others over a link of 10 Mbit/s takes
 	// 0.21 s to send one to each.
@@ -25,9 +19,6 @@
 	maxPiecesBytes = 16 << 20
 )
 
-// errTooManyRecords reports records of more than maxPiecesBytes.
-var errTooManyRecords = errors.New("records are too large for a feed")
-
 // contents identifies the records of a message of a feed. Those of two messages with the
 // same contents are equal.
 type contents struct {
@@ -53,35 +44,18 @@
 	if p.packed != nil && p.of == c {
 		return p.packed, nil
 	}
-	text, err := proto.Marshal(&messenger.Records{Records: records})
+	packed, err := messenger.Deflate(&messenger.Records{Records: records}, maxPiecesBytes)
 	if err != nil {
 		return nil, errors.Wrap(err, "records")
 	}
-	if len(text) > maxPiecesBytes {
-		return nil, errors.Wrapf(errTooManyRecords, "%d bytes, at most %d", len(text), maxPiecesBytes)
-	}
-	var b bytes.Buffer
-	w, err := flate.NewWriter(&b, flate.BestSpeed)
-	if err != nil {
-		return nil, errors.Wrap(err, "records")
-	}
-	_, _ = w.Write(text) // A bytes.Buffer takes all that is written.
-	_ = w.Close()
-	p.of, p.packed = c, b.Bytes()
-	return p.packed, nil
+	p.of, p.packed = c, packed
+	return packed, nil
 }
 
 // unpackRecords returns the records in packed, which pack returned.
 func unpackRecords(packed []byte) ([]*messenger.Record, error) {
-	text, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(packed)), maxPiecesBytes+1))
-	switch {
-	case err != nil:
-		return nil, errors.Wrap(err, "records")
-	case len(text) > maxPiecesBytes:
-		return nil, errTooManyRecords
-	}
 	var m messenger.Records
-	if err := proto.Unmarshal(text, &m); err != nil {
+	if err := messenger.Inflate(packed, &m, maxPiecesBytes); err != nil {
 		return nil, errors.Wrap(err, "records")
 	}
 	return m.GetRecords(), nil
