Leave records that a copy lacks to their held deletions

Callers saw: in a drill, an instance that lists no server of a service for a moment although they live: the store came back from a copy, was away again, and another instance sent its list.

Cause: a list of all records leaves out those that a copy lacks, since each instance keeps them for itself. LoadAll took that for their deletion, and once the hold time was over it took effect, though the store was away and nobody could write them again.

Change: LoadAll makes no deletions of such records; each has a held one already.

--- a/internal/platform/watcher/table.go
+++ b/internal/platform/watcher/table.go
@@ -170,7 +170,7 @@
 		listed[r.Key] = true
 	}
 	for key, e := range t.records {
-		if !listed[key] && !e.Deleted && e.Revision <= b.Revision && !t.isKeptOrder(e.Record) {
+		if !listed[key] && !e.Deleted && !e.missingInCopy && e.Revision <= b.Revision && !t.isKeptOrder(e.Record) {
 			b.Records = append(b.Records, Record{Key: key, Revision: max(b.Revision, e.Revision+1), Deleted: true})
 		}
 	}
