--- a/internal/platform/watcher/age_test.go
+++ b/internal/platform/watcher/age_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"math/rand/v2"
 	"net"
 	"net/netip"
@@ -13,6 +14,8 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/phuslu/log"
+
 	"sardinelever.example/sardinelever/internal/fleet/connector"
 	"sardinelever.example/sardinelever/internal/fleet/registrar"
 	"sardinelever.example/sardinelever/internal/platform/watcher"
@@ -291,3 +294,6 @@
 		t.Errorf("got delays %v, want at most %v", delays, maxChangeDelay)
 	}
 }
+
+// discardLogger drops all lines.
+var discardLogger = log.Logger{Level: log.ErrorLevel, Writer: log.IOWriter{Writer: io.Discard}}
--- a/internal/platform/watcher/watcher_test.go
+++ b/internal/platform/watcher/watcher_test.go
@@ -5,7 +5,6 @@
 	"cmp"
 	"context"
 	"fmt"
-	"io"
 	"net"
 	"net/netip"
 	"slices"
@@ -14,7 +13,6 @@
 	"testing"
 	"time"
 
-	"github.com/phuslu/log"
 	"github.com/pkg/errors"
 
 	"sardinelever.example/sardinelever/internal/fleet/connector"
@@ -396,6 +394,3 @@
 	s.putRecord("s/x", true)
 	f.waitForServers(t, "all pages", 8)
 }
-
-// discardLogger drops all lines.
-var discardLogger = log.Logger{Level: log.ErrorLevel, Writer: log.IOWriter{Writer: io.Discard}}
