--- a/review/lab-3/backend.go
+++ b/review/lab-3/backend.go
@@ -62,8 +62,15 @@
 	}
 }
 
+// oddServe serves the connections instead if it is set.
+var oddServe func(b *backend, c net.Conn)
+
 func (b *backend) serve(c net.Conn) {
-	defer c.Close()
+	if oddServe != nil {
+		oddServe(b, c)
+		return
+	}
+	defer func() { _ = c.Close() }()
 	in := bufio.NewReader(c)
 	for {
 		req, err := http.ReadRequest(in)
--- a/review/lab-3/crowd.go
+++ b/review/lab-3/crowd.go
@@ -20,10 +20,14 @@
 // deployment starts a store, backends and n instances.
 func deployment(dir string, n int, work time.Duration) (*store, []*backend, []*node) {
 	s := newStore()
-	s.put("op/config", config(7, map[string]any{
+	routes := map[string]any{
 		"r-a": route("jepu9.example", "/lepu270/", "safe", "huvo11a", "1200ms", 1),
 		"r-b": route("hulo84.example", "/xapu221/ny95/", "unsafe", "wuno96b", "1500ms", 1),
-	}, map[string]any{"huvo11a": service(), "wuno96b": service()}))
+	}
+	if os.Getenv("BULK") == "1" { // Calls are hedged while a route is of this type.
+		routes["r-c"] = route("hulo84.example", "/bulk/", "download", "huvo11a", "3000ms", 2)
+	}
+	s.put("op/config", config(7, routes, map[string]any{"huvo11a": service(), "wuno96b": service()}))
 	var bs []*backend
 	for i := range 8 {
 		name := "huvo11a"
--- a/review/lab-3/main.go
+++ b/review/lab-3/main.go
@@ -33,8 +33,16 @@
 	switch os.Args[1] {
 	case "trailers":
 		code = trailers(dir, os.Args[2])
+	case "stalled":
+		code = stalled(dir, os.Args[2])
+	case "terms":
+		code = terms(dir, os.Args[2])
+	case "leaving":
+		code = leavingScenario(dir, os.Args[2])
 	case "chaos":
 		code = chaos(dir, os.Args[2])
+	case "odd":
+		code = odd(dir, os.Args[2])
 	case "crowd":
 		code = crowd(dir)
 	case "bodies":
