--- a/review/lab-3/bodies.go
+++ b/review/lab-3/bodies.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"os"
 	"strings"
@@ -40,18 +41,13 @@
 	}
 	var text []byte
 	var fields strings.Builder
-	switch kind {
-	case "piece": // 60 KB, one byte short.
-		text = bytes.Repeat([]byte("x"), 60<<10-1)
-	case "large":
+	text = bytes.Repeat([]byte("x"), 60<<10-1) // One byte short.
+	if kind == "large" {
 		text = bytes.Repeat([]byte("x"), 4<<20)
-	case "chunk":
-		text = append([]byte("f000\r\n"), bytes.Repeat([]byte("x"), 0xf000-1)...)
-	case "fields", "fieldsget":
-		for i := range 480 {
-			fmt.Fprintf(&fields, "x%d:\r\n", i)
-		}
-	case "pipeline":
+	}
+	chunk := append([]byte("f000\r\n"), bytes.Repeat([]byte("x"), 0xf000-1)...)
+	for i := range 480 {
+		fmt.Fprintf(&fields, "x%d:\r\n", i)
 	}
 	for range env("CROWD", 1900) {
 		go func() {
@@ -67,19 +63,23 @@
 					continue
 				}
 				_ = c.SetDeadline(time.Now().Add(4 * time.Second))
+				kind := kind
+				if kind == "mixed" {
+					kind = []string{"piece", "chunk", "fields", "fieldsget", "long", "pipeline"}[rand.IntN(6)]
+				}
 				switch kind {
 				case "piece", "large":
 					_, _ = io.WriteString(c, head(fmt.Sprintf("Content-Length: %d\r\n\r\n", len(text)+1)))
 					_, _ = c.Write(text)
 				case "chunk":
 					_, _ = io.WriteString(c, head("Transfer-Encoding: chunked\r\n\r\n"))
-					_, _ = c.Write(text)
+					_, _ = c.Write(chunk)
 				case "fields":
 					_, _ = io.WriteString(c, head(fields.String()+"Content-Length: 10\r\n\r\n123"))
 				case "fieldsget":
 					_, _ = io.WriteString(c, "GET /lepu270/2f HTTP/1.1\r\nHost: jepu9.example\r\nSardinelever-Request-Id: "+newID()+"\r\nSardinelever-Deadline-Ms: 1500\r\n"+fields.String()+"\r\n")
 				case "long":
-					_, _ = io.WriteString(c, "GET /lepu270/"+strings.Repeat("%41", 20<<10)+" HTTP/1.1\r\nHost: jepu9.example\r\nSardinelever-Request-Id: "+newID()+"\r\nSardinelever-Deadline-Ms: 1500\r\n\r\n")
+					_, _ = io.WriteString(c, "GET /lepu270/"+strings.Repeat("%41", 4<<10)+" HTTP/1.1\r\nHost: jepu9.example\r\nSardinelever-Request-Id: "+newID()+"\r\nSardinelever-Deadline-Ms: 1500\r\n\r\n")
 				case "pipeline":
 					var b strings.Builder
 					for range 50 {
--- a/review/lab-3/main.go
+++ b/review/lab-3/main.go
@@ -39,6 +39,8 @@
 		code = terms(dir, os.Args[2])
 	case "leaving":
 		code = leavingScenario(dir, os.Args[2])
+	case "paths":
+		code = paths(dir, os.Args[2])
 	case "chaos":
 		code = chaos(dir, os.Args[2])
 	case "odd":
