--- a/review/lab-3/main.go
+++ b/review/lab-3/main.go
@@ -41,6 +41,8 @@
 		code = leavingScenario(dir, os.Args[2])
 	case "paths":
 		code = paths(dir, os.Args[2])
+	case "changes":
+		code = changes(dir, os.Args[2])
 	case "chaos":
 		code = chaos(dir, os.Args[2])
 	case "odd":
