--- a/review/lab-3/main.go
+++ b/review/lab-3/main.go
@@ -43,6 +43,8 @@
 		code = paths(dir, os.Args[2])
 	case "changes":
 		code = changes(dir, os.Args[2])
+	case "prefixes":
+		code = prefixes(dir, os.Args[2])
 	case "chaos":
 		code = chaos(dir, os.Args[2])
 	case "odd":
