--- a/review/lab-3/main.go
+++ b/review/lab-3/main.go
@@ -45,6 +45,8 @@
 		code = changes(dir, os.Args[2])
 	case "prefixes":
 		code = prefixes(dir, os.Args[2])
+	case "hints":
+		code = hints(dir, os.Args[2])
 	case "chaos":
 		code = chaos(dir, os.Args[2])
 	case "odd":
