--- a/review/lab-3/fleet.go
+++ b/review/lab-3/fleet.go
@@ -126,6 +126,18 @@
 	return last
 }
 
+// lastLine returns the last line of the log that has a text about the settings.
+func (n *node) lastLine() string {
+	text, _ := os.ReadFile(n.log.Name())
+	last := "no line says why"
+	for line := range strings.Lines(string(text)) {
+		if strings.Contains(line, ".toml:") {
+			_, last, _ = strings.Cut(strings.TrimSpace(line), ".toml:")
+		}
+	}
+	return last
+}
+
 // stop ends the process.
 func (n *node) stop() {
 	if n.cmd == nil || n.cmd.ProcessState != nil {
--- a/review/lab-3/main.go
+++ b/review/lab-3/main.go
@@ -49,6 +49,8 @@
 		code = hints(dir, os.Args[2])
 	case "oldanswers":
 		code = oldAnswers(dir, os.Args[2])
+	case "settings":
+		code = settings(dir, os.Args[2])
 	case "chaos":
 		code = chaos(dir, os.Args[2])
 	case "odd":
