--- a/review/13/run.sh
+++ b/review/13/run.sh
@@ -3,4 +3,4 @@
 here=$(cd "$(dirname "$0")" && pwd)
 cd "$here/../.." || exit 2
 [ -x target/sardinelever ] && [ -x target/lab3 ] || exit 2
-exec target/lab3 paths "$here/record.txt"
+exec target/lab3 foreign "$here/record.txt"
--- a/review/_lab-3/main.go
+++ b/review/_lab-3/main.go
@@ -51,6 +51,8 @@
 		code = oldAnswers(dir, os.Args[2])
 	case "settings":
 		code = settings(dir, os.Args[2])
+	case "foreign":
+		code = foreign(dir, os.Args[2])
 	case "chaos":
 		code = chaos(dir, os.Args[2])
 	case "odd":
