--- a/review/_lab-3/changes.go
+++ b/review/_lab-3/changes.go
@@ -15,7 +15,6 @@
 func changes(dir, file string) int {
 	rec := newRecord(file)
 	s, bs, nodes := deployment(dir, 3, 5*time.Millisecond)
-	stopOnSignal(nodes)
 	defer func() {
 		for _, nd := range nodes {
 			nd.stop()
--- a/review/_lab-3/fleet.go
+++ b/review/_lab-3/fleet.go
@@ -3,20 +3,44 @@
 import (
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
+	"sync"
 	"syscall"
 	"time"
 )
 
+// check ends the run if err is not nil. The processes that were started are ended first.
 func check(err error) {
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "lab:", err)
-		os.Exit(2)
+		endAll()
+		os.Exit(failed)
+	}
+}
+
+var (
+	startedMu sync.Mutex
+	started   []*node
+	workDir   string // Removed at the end.
+)
+
+// endAll ends all processes that were started and removes the temporary folder.
+func endAll() {
+	startedMu.Lock()
+	nodes := slices.Clone(started)
+	startedMu.Unlock()
+	for _, n := range nodes {
+		n.stop()
+	}
+	if os.Getenv("KEEP") == "" {
+		_ = os.RemoveAll(workDir)
 	}
 }
 
@@ -29,9 +53,13 @@
 	log                         *os.File
 }
 
-// freeAddr returns a free loopback address.
+// hostOfRun is a loopback address of this run alone, so that no connection of another
+// process takes a port that was drawn for an instance.
+var hostOfRun = fmt.Sprintf("127.%d.%d.%d", 1+rand.IntN(250), rand.IntN(250), 1+rand.IntN(250))
+
+// freeAddr returns a free address of hostOfRun.
 func freeAddr() string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := net.Listen("tcp", hostOfRun+":0")
 	check(err)
 	defer func() { _ = l.Close() }()
 	return l.Addr().String()
@@ -101,6 +129,11 @@
 	n.cmd = exec.Command(program(), "run", n.file)
 	n.cmd.Stdout, n.cmd.Stderr = n.log, n.log
 	check(n.cmd.Start())
+	startedMu.Lock()
+	if !slices.Contains(started, n) {
+		started = append(started, n)
+	}
+	startedMu.Unlock()
 	n.done = make(chan error, 1)
 	go func(c *exec.Cmd, done chan error) { done <- c.Wait() }(n.cmd, n.done)
 }
--- a/review/_lab-3/foreign.go
+++ b/review/_lab-3/foreign.go
@@ -17,7 +17,6 @@
 func foreign(dir, file string) int {
 	rec := newRecord(file)
 	s, bs, nodes := deployment(dir, 3, 20*time.Millisecond)
-	stopOnSignal(nodes)
 	defer func() {
 		for _, nd := range nodes {
 			nd.stop()
--- a/review/_lab-3/hints.go
+++ b/review/_lab-3/hints.go
@@ -112,7 +112,6 @@
 	h := &hintsBackend{runs: map[string]bool{}}
 	oddServe = h.serve
 	_, _, nodes := deployment(dir, 3, 0)
-	stopOnSignal(nodes)
 	defer func() {
 		for _, nd := range nodes {
 			nd.stop()
--- a/review/_lab-3/leaving.go
+++ b/review/_lab-3/leaving.go
@@ -122,7 +122,6 @@
 	for _, nd := range nodes {
 		nd.start(dir)
 	}
-	stopOnSignal(nodes)
 	defer func() {
 		for _, nd := range nodes {
 			nd.stop()
--- a/review/_lab-3/main.go
+++ b/review/_lab-3/main.go
@@ -29,6 +29,8 @@
 	}
 	dir, err := os.MkdirTemp("", "lab3")
 	check(err)
+	workDir = dir
+	stopOnSignal()
 	code := failed
 	switch os.Args[1] {
 	case "trailers":
@@ -62,9 +64,8 @@
 	case "bodies":
 		code = bodies(dir)
 	}
-	if os.Getenv("KEEP") == "" {
-		_ = os.RemoveAll(dir)
-	} else {
+	endAll()
+	if os.Getenv("KEEP") != "" {
 		fmt.Println(dir)
 	}
 	os.Exit(code)
--- a/review/_lab-3/odd.go
+++ b/review/_lab-3/odd.go
@@ -33,7 +33,7 @@
 	return fmt.Sprintf("%d.%x", len(body), sha256.Sum256([]byte(body)))[:20]
 }
 
-var oddActs = strings.Fields("ok ok ok ok large chunked trailers early informational cut cutchunk unframed unframedreset extra extralate fail shed pause close hang silent reset resetread wrongid noid unsealed slow earlybig nocontent")
+var oddActs = strings.Fields("ok ok ok ok large chunked trailers early informational cut cutchunk unframed unframedreset extra extralate fail shed pause close hang silent reset resetread wrongid noid unsealed slow earlybig nocontent earlyreset")
 
 // serveOdd serves one connection of an odd backend.
 func (o *oddBackends) serveOdd(b *backend, c net.Conn) {
@@ -74,6 +74,14 @@
 			o.mu.Unlock()
 		}
 		early := act == "early" || act == "earlybig" || act == "shed" && rand.IntN(2) == 0 || act == "resetread"
+		if act == "earlyreset" {
+			run()
+			text := strings.Repeat("answer of "+b.id+" to "+id+"\n", 20)
+			_, _ = io.WriteString(c, head(200, "Sardinelever-Response-Seal: "+seal(text)+"\r\nConnection: close\r\n\r\n")+text[:rand.IntN(len(text))])
+			time.Sleep(time.Duration(rand.IntN(10)) * time.Millisecond)
+			reset()
+			return
+		}
 		if act == "resetread" {
 			run()
 			reset()
@@ -341,7 +349,6 @@
 	o := &oddBackends{runs: map[string]*oddRun{}}
 	oddServe = o.serveOdd
 	_, _, nodes := deployment(dir, 3, 0)
-	stopOnSignal(nodes)
 	defer func() {
 		for _, nd := range nodes {
 			nd.stop()
--- a/review/_lab-3/oldanswers.go
+++ b/review/_lab-3/oldanswers.go
@@ -86,7 +86,6 @@
 	s := &spoiler{order: map[string]int{}, spoilt: map[string]bool{}, runs: map[string]int{}, first: map[string]string{}}
 	oddServe = s.serve
 	_, _, nodes := deployment(dir, 3, 0)
-	stopOnSignal(nodes)
 	defer func() {
 		for _, nd := range nodes {
 			nd.stop()
--- a/review/_lab-3/paths.go
+++ b/review/_lab-3/paths.go
@@ -20,7 +20,6 @@
 func paths(dir, file string) int {
 	rec := newRecord(file)
 	_, bs, nodes := deployment(dir, 3, 0)
-	stopOnSignal(nodes)
 	defer func() {
 		for _, nd := range nodes {
 			nd.stop()
--- a/review/_lab-3/prefixes.go
+++ b/review/_lab-3/prefixes.go
@@ -25,7 +25,6 @@
 func prefixes(dir, file string) int {
 	rec := newRecord(file)
 	s, bs, nodes := deployment(dir, 3, 0)
-	stopOnSignal(nodes)
 	defer func() {
 		for _, nd := range nodes {
 			nd.stop()
--- a/review/_lab-3/record.go
+++ b/review/_lab-3/record.go
@@ -67,14 +67,12 @@
 func trouble() bool { return os.Getenv("TROUBLE") != "0" }
 
 // stopOnSignal ends the processes that were started when this one is told to end.
-func stopOnSignal(nodes []*node) {
+func stopOnSignal() {
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	go func() {
 		<-signals
-		for _, nd := range nodes {
-			nd.stop()
-		}
+		endAll()
 		os.Exit(failed)
 	}()
 }
--- a/review/_lab-3/settings.go
+++ b/review/_lab-3/settings.go
@@ -19,7 +19,6 @@
 func settings(dir, file string) int {
 	rec := newRecord(file)
 	_, _, nodes := deployment(dir, 3, 20*time.Millisecond)
-	stopOnSignal(nodes)
 	defer func() {
 		for _, nd := range nodes {
 			nd.stop()
@@ -67,9 +66,9 @@
 		for range settingsRounds {
 			time.Sleep(restartDelay)
 			nd.start(dir)
-			started := time.Now()
+			begin := time.Now()
 			var err error
-			for time.Since(started) < 2*time.Second && !nd.isReady() && err == nil {
+			for time.Since(begin) < 2*time.Second && !nd.isReady() && err == nil {
 				select {
 				case err = <-nd.done:
 					nd.done <- err
--- a/review/_lab-3/stalled.go
+++ b/review/_lab-3/stalled.go
@@ -59,7 +59,6 @@
 func stalled(dir, file string) int {
 	rec := newRecord(file)
 	_, bs, nodes := deployment(dir, 3, 100*time.Millisecond)
-	stopOnSignal(nodes)
 	defer func() {
 		for _, nd := range nodes {
 			nd.stop()
--- a/review/_lab-3/terms.go
+++ b/review/_lab-3/terms.go
@@ -18,7 +18,6 @@
 func terms(dir, file string) int {
 	rec := newRecord(file)
 	_, bs, nodes := deployment(dir, 3, 150*time.Millisecond)
-	stopOnSignal(nodes)
 	defer func() {
 		for _, nd := range nodes {
 			nd.stop()
--- a/review/_lab-3/trailers.go
+++ b/review/_lab-3/trailers.go
@@ -67,7 +67,6 @@
 func trailers(dir, file string) int {
 	rec := newRecord(file)
 	_, bs, nodes := deployment(dir, 3, 20*time.Millisecond)
-	stopOnSignal(nodes)
 	defer func() {
 		for _, nd := range nodes {
 			nd.stop()
