--- a/internal/call/sender/probe.go
+++ b/internal/call/sender/probe.go
@@ -15,7 +15,8 @@
 // ProbeServer requests the load endpoint of a backend server at path and returns
 // the metadata of the response. It uses a connection of the pool for calls, whose
 // size over all instances is connections. The error wraps ErrWithheld, and nothing is
-// sent, while the server with the given lifetime is withheld.
+// sent, while the server with the given lifetime is withheld. If the metadata name another
+// server, it has the address, and all else in them is about it.
 func (s *Sender) ProbeServer(ctx context.Context, server netip.AddrPort, lifetime withholder.Lifetime, path string, connections int) (translator.ResponseMetadata, error) {
 	pool := s.serverPool(server)
 	conn, err := pool.acquireConn(ctx, s.transport, connRequest{
@@ -40,6 +41,10 @@
 		return translator.ResponseMetadata{}, errors.Wrap(err, "probe")
 	}
 	metadata := s.dialect().ParseResponse(resp.StatusCode, resp.Header)
+	if metadata.ServerName != "" && lifetime.Name != "" && metadata.ServerName != lifetime.Name {
+		_ = conn.Close() // It leads to another process than that of its lifetime.
+		return metadata, nil
+	}
 	late := metadata.RequestID != ""
 	source := withholder.FromProbe
 	if late {
--- a/internal/call/sender/sender.go
+++ b/internal/call/sender/sender.go
@@ -189,6 +189,10 @@
 // foreignReason is the Reason of a Failure whose response belongs to another call.
 const foreignReason = "foreign"
 
+// MovedReason is the Reason of a Failure that another backend server answered, which has the
+// address now.
+const MovedReason = "moved"
+
 // isForeign reports whether the response with metadata m belongs to another call than
 // that of a.
 func isForeign(a *Attempt, m *translator.ResponseMetadata, reused bool) bool {
@@ -232,7 +236,7 @@
 	case metadata.UnprovenRefusal, metadata.IsRefusal() && metadata.Unnamed && a.Call.RequestID != "":
 		return &Failure{Outcome: Unknown, Reason: "unproven", Err: errors.Errorf("backend server %s answered %d without proof that it did not run the call", a.Server, statusCode)}
 	case metadata.Misdirected:
-		return &Failure{Outcome: Rejected, Reason: "moved", Err: errors.Errorf("backend server %s is no longer at address %s, which another one has", a.ServerName, a.Server)}
+		return &Failure{Outcome: Rejected, Reason: MovedReason, Err: errors.Errorf("backend server %s is no longer at address %s, which another one has", a.ServerName, a.Server)}
 	case metadata.UnprovenSuccess:
 		return &Failure{Outcome: Unknown, Reason: "unproven", Err: errors.Errorf("backend server %s answered %d without proof that it ran the call", a.Server, statusCode)}
 	case metadata.Refused:
--- a/internal/call/translator/dialect.go
+++ b/internal/call/translator/dialect.go
@@ -74,6 +74,7 @@
 	Slowdown     float64       // Time that work takes now on the backend server, relative to its usual time; 0 when unknown.
 	ColdStated   bool          // The backend server states for how long it is cold.
 	Cold         time.Duration // Time for which the backend server is still cold; 0 when it is warm.
+	ServerName   string        // Name of the backend server, in responses to probes; empty when it is not given.
 	RequestID    string        // Identifies the attempt that the response belongs to; empty when it is not given.
 	IdleTimeout  time.Duration // Idle time after which the backend server closes the connection; 0 when unknown.
 	// RetryAfter is the time for which a backend server that turned the call away
--- a/internal/instance/runner/active_call.go
+++ b/internal/instance/runner/active_call.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"net/netip"
 	"sync"
 	"time"
 
@@ -71,7 +70,7 @@
 	a.holding.Protect()
 	a.countAttempt(attempt.Number, time.Since(start))
 	attempt.AddServer(slot.Server)
-	server := a.findServer(slot.Server)
+	server := a.findServer(slot)
 	if server == nil {
 		slot.Release(acquirer.Result{ReportedCalls: -1, Failed: true, Unanswered: true})
 		return nil, &sender.Failure{Outcome: sender.Rejected, Reason: "moved", Err: errors.Errorf("no backend server is known at %s", slot.Server)}
@@ -193,21 +192,31 @@
 	if resp == nil {
 		return result
 	}
+	if f != nil && f.Reason == sender.MovedReason {
+		result.Failed = true
+		return result // The headers are those of another backend server.
+	}
 	result.Failed = result.Failed || err == nil && resp.StatusCode >= http.StatusInternalServerError
 	signals := h.responder.ParseResponse(resp)
 	result.Drain, result.ReportedCalls, result.Slowdown = signals.Draining, signals.ReportedCalls(), signals.Slowdown
 	return result
 }
 
-// findServer returns the backend server of the call's service at addr, preferably one
-// that is not leaving, or nil when the service no longer has a server there, so that
+// findServer returns the backend server of the call's service that slot names or, if it
+// names none, the one at its address, preferably one that is not leaving. It is nil when the service no longer has a server there, so that
 // the call must not be sent. A call that matches no rule (Call.Rule) may run on any
 // server at addr, also on one that is no longer listed.
-func (a *activeCall) findServer(addr netip.AddrPort) *router.BackendServer {
-	if b := a.routingTable.Load().FindServer(a.call.Service.Name, addr); b != nil || a.call.Rule != nil {
+func (a *activeCall) findServer(slot *acquirer.Slot) *router.BackendServer {
+	table, service := a.routingTable.Load(), a.call.Service.Name
+	if l := slot.Lifetime; l.Name != "" {
+		if b := table.FindProcess(service, l.Name, l.ProcessStart); b != nil {
+			return b
+		}
+	}
+	if b := table.FindServer(service, slot.Server); b != nil || a.call.Rule != nil {
 		return b
 	}
-	return &router.BackendServer{Address: addr}
+	return &router.BackendServer{Address: slot.Server}
 }
 
 // expectedName returns the name of the only backend server that may run the call, or ""
--- a/internal/instance/runner/adapters.go
+++ b/internal/instance/runner/adapters.go
@@ -117,20 +117,21 @@
 // has requested.
 type onDemandProbe struct {
 	*components
-	service string
-	server  netip.AddrPort
+	service  string
+	server   netip.AddrPort
+	lifetime withholder.Lifetime
 }
 
 // startProbe starts a probe in the background; it is the StartProbe function of
 // allocator.Allocator.
-func (c *components) startProbe(service string, server netip.AddrPort) {
-	go onDemandProbe{c, service, server}.run()
+func (c *components) startProbe(service string, server netip.AddrPort, lifetime withholder.Lifetime) {
+	go onDemandProbe{c, service, server, lifetime}.run()
 }
 
 func (o onDemandProbe) run() {
 	defer recoverer.Catch("probe", nil)
 	table := o.routingTable.Load()
-	service, server := table.Services[o.service], table.FindServer(o.service, o.server)
+	service, server := table.Services[o.service], table.FindProcess(o.service, o.lifetime.Name, o.lifetime.ProcessStart)
 	if service == nil || server == nil {
 		return
 	}
@@ -141,7 +142,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), onDemandProbeTimeout)
 	defer cancel()
 	start := time.Now()
-	signals, err := o.handler.sender.ProbeServer(ctx, o.server, withholder.LifetimeOf(server), service.Probe.Path, service.Connections)
+	signals, err := o.handler.sender.ProbeServer(ctx, o.server, o.lifetime, service.Probe.Path, service.Connections)
 	if errors.Is(err, sender.ErrWithheld) {
 		time.Sleep(withheldProbeInterval) // The allocator requests the next probe at once.
 		o.allocator.RecordProbe(o.service, o.server, tracker.ProbeResult{Unsent: true})
@@ -151,7 +152,9 @@
 	if err == nil {
 		result.ReportedCalls, result.Slowdown = signals.ReportedCalls(), signals.Slowdown
 	}
-	o.allocator.RecordProbe(o.service, o.server, tracker.ProbeResult{Result: result, Age: time.Since(start) / 2, ColdStated: signals.ColdStated, Cold: signals.Cold})
+	o.allocator.RecordProbe(o.service, o.server, tracker.ProbeResult{
+		Result: result, Age: time.Since(start) / 2, ColdStated: signals.ColdStated, Cold: signals.Cold, ServerName: signals.ServerName,
+	})
 }
 
 // serveGrantStream serves the slot requests of another instance.
--- a/internal/platform/watcher/publication.go
+++ b/internal/platform/watcher/publication.go
@@ -1,7 +1,6 @@
 package watcher
 
 import (
-	"net/netip"
 	"strconv"
 	"time"
 
@@ -33,24 +32,13 @@
 	}
 }
 
-// decodeEntries returns the backend servers in records. Only one process at a time
-// can use an address, so of several entries with the same address the one that
-// started last is returned.
+// decodeEntries returns the backend servers in records. Several of them can have one
+// address: nothing in the records tells which of them is there.
 func (w *Watcher) decodeEntries(records []Record) []reader.Entry {
 	var out []reader.Entry
-	indexByAddress := make(map[netip.AddrPort]int)
 	for _, r := range records {
-		e, ok := w.decodeEntry(r)
-		if !ok {
-			continue
-		}
-		i, taken := indexByAddress[e.Address]
-		switch {
-		case !taken:
-			indexByAddress[e.Address] = len(out)
+		if e, ok := w.decodeEntry(r); ok {
 			out = append(out, e)
-		case e.ProcessStart > out[i].ProcessStart:
-			out[i] = e
 		}
 	}
 	return out
--- a/internal/route/acquirer/acquisition.go
+++ b/internal/route/acquirer/acquisition.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 
 	"sardinelever.example/sardinelever/internal/route/allocator"
+	"sardinelever.example/sardinelever/internal/route/withholder"
 )
 
 // askState is the state of a poolAsk. The states up to stateQueued are open: the
@@ -237,7 +238,8 @@
 	a.closeAsks(p)
 	s := &Slot{
 		Server: a.offer.Server, Home: p.triedHomes[len(p.triedHomes)-1], Slowdown: a.offer.Slowdown, SlowdownAge: a.offer.SlowdownAge,
-		ask: p, homes: []home{p.home},
+		Lifetime: withholder.Lifetime{Name: a.offer.Name, ProcessStart: a.offer.ProcessStart},
+		ask:      p, homes: []home{p.home},
 	}
 	if a.offer.Cold {
 		s.SendBy = p.sentAt.Add(a.offer.Wait + allocator.MaxColdDelay)
--- a/internal/route/acquirer/encoding.go
+++ b/internal/route/acquirer/encoding.go
@@ -68,6 +68,7 @@
 		}
 		r.MayKeep, r.Slowdown, r.SlowdownAge = k.Offer.Keep, k.Offer.Pace, time.Duration(k.Offer.Age)
 		r.Load = allocator.DecodeLoad(k.Offer.Load)
+		r.Name, r.ProcessStart = k.Offer.Name, k.Offer.Born
 		r.Cold, r.Wait = k.Offer.Cold, time.Duration(k.Offer.Wait)
 	case *messenger.Grant_Recall:
 		r = allocator.Reply{Number: k.Recall.Number, Kind: allocator.ReplyRecalled}
--- a/internal/route/acquirer/slot.go
+++ b/internal/route/acquirer/slot.go
@@ -4,11 +4,15 @@
 	"net/netip"
 	"sync"
 	"time"
+
+	"sardinelever.example/sardinelever/internal/route/withholder"
 )
 
 // Slot is the right to send one call to the backend server Server, until Release.
 type Slot struct {
-	Server      netip.AddrPort
+	Server netip.AddrPort
+	// Lifetime is that of the server if the service has several at Server, otherwise zero.
+	Lifetime    withholder.Lifetime
 	Home        string        // Instance that granted the slot; empty for baselines and kept slots.
 	Slowdown    float64       // Slowdown of the server by which the home chose it; 0 when unknown.
 	SlowdownAge time.Duration // Age of the slowdown when the slot was granted.
--- a/internal/route/allocator/allocator.go
+++ b/internal/route/allocator/allocator.go
@@ -24,7 +24,7 @@
 	// StartProbe starts a probe of a backend server of a service and must not
 	// block; its result is passed to RecordProbe. nil means that servers cannot
 	// be probed.
-	StartProbe func(service string, server netip.AddrPort)
+	StartProbe func(service string, server netip.AddrPort, lifetime withholder.Lifetime)
 	// ReportLoad reports whether replies carry the load of their pool, by which entries divide
 	// calls between zones.
 	ReportLoad func() bool
--- a/internal/route/allocator/dispatch.go
+++ b/internal/route/allocator/dispatch.go
@@ -129,6 +129,9 @@
 // offerSlot tells the owner of qr that it was granted a slot of s.
 func (p *Pool) offerSlot(now time.Time, qr *queuedRequest, s *tracker.Server) {
 	reply := Reply{Number: qr.Number, Kind: ReplyOffered, Server: s.Address, MayKeep: p.canKeepSlots(now), Load: p.currentLoad(now)}
+	if p.shared[s.Address] {
+		reply.Name, reply.ProcessStart = s.Name, s.ProcessStart
+	}
 	if p.isLimited(now, s) {
 		reply.Cold, reply.Wait, reply.MayKeep = true, now.Sub(qr.queuedAt), false
 	}
@@ -192,7 +195,7 @@
 func (p *Pool) pickServer(now time.Time, req SlotRequest) *tracker.Server {
 	all := p.candidateBuffer[:0]
 	for _, s := range p.servers.Servers() {
-		if s.FreeSlots(now) == 0 || !p.allowsCold(now, s) || p.isFullByReport(now, s) || slices.Contains(req.Avoid, s.Address) {
+		if s.FreeSlots(now) == 0 || s.IsDisplaced() || !p.allowsCold(now, s) || p.isFullByReport(now, s) || slices.Contains(req.Avoid, s.Address) {
 			continue
 		}
 		if s.State(now) == tracker.Trial {
--- a/internal/route/allocator/key.go
+++ b/internal/route/allocator/key.go
@@ -2,7 +2,6 @@
 
 import (
 	"net/netip"
-	"slices"
 	"strconv"
 
 	"github.com/cespare/xxhash/v2"
@@ -65,19 +64,6 @@
 	return shard
 }
 
-// withoutReplaced returns members without the leaving ones whose address another one has
-// that is not leaving.
-func withoutReplaced(members []router.BackendServer) []router.BackendServer {
-	current := make([]router.BackendServer, 0, len(members))
-	for i := range members {
-		m := &members[i]
-		if !m.Leaving || !slices.ContainsFunc(members, func(o router.BackendServer) bool { return !o.Leaving && o.Address == m.Address }) {
-			current = append(current, *m)
-		}
-	}
-	return current
-}
-
 // PoolKeyOf returns the key of the pool to which backend server b of s belongs.
 func PoolKeyOf(s *router.Service, b *router.BackendServer) PoolKey {
 	n := 0
--- a/internal/route/allocator/pool.go
+++ b/internal/route/allocator/pool.go
@@ -38,7 +38,10 @@
 
 	servers         tracker.Pool
 	config          parser.Service
-	appliedTable    *router.RoutingTable // Table that was applied last.
+	appliedTable    *router.RoutingTable   // Table that was applied last.
+	listed          []router.BackendServer // Servers of the pool in appliedTable, also several with one address.
+	residents       residents
+	shared          map[netip.AddrPort]bool // Addresses of several servers of the service.
 	queues          [parser.RankCount]queue
 	routeWork       workEstimates
 	nearlyFull      nearlyFullEstimator
@@ -101,9 +104,13 @@
 
 // ApplyTable applies the backend servers and the service configuration of table.
 func (p *Pool) ApplyTable(now time.Time, table *router.RoutingTable) {
-	if table == p.appliedTable {
-		return
+	if table != p.appliedTable {
+		p.applyTable(now, table)
 	}
+}
+
+// applyTable is ApplyTable also for the table that was applied last.
+func (p *Pool) applyTable(now time.Time, table *router.RoutingTable) {
 	first := p.appliedTable == nil
 	p.appliedTable = table
 	if first {
@@ -111,9 +118,11 @@
 		p.meanHoldTime = initialHoldTime
 	}
 	var members []router.BackendServer
+	p.listed, p.shared = nil, nil
 	if s := table.Services[p.Key.Service]; s != nil {
 		p.config = s.Service.WithDefaults()
-		members = withoutReplaced(PoolMembers(s, p.Key))
+		p.listed, p.shared = PoolMembers(s, p.Key), sharedAddresses(s)
+		members = p.residents.chooseMembers(p.listed, p.servers.FindServer)
 		p.slotRatio = serviceSlotRatio(s, members)
 	}
 	p.setColdRate(newColdRate(p.config.Cold.Rate, p.ColdLimits.Bound))
@@ -152,11 +161,27 @@
 			p.removeServer(s)
 		}
 	}
+	p.probeUnknown(now)
 	p.updateCold(now)
 	p.refuseUnservable(now)
 	p.dispatch(now)
 }
 
+// probeUnknown probes the servers that were chosen for addresses of several servers without
+// an answer that says which of them is there.
+func (p *Pool) probeUnknown(now time.Time) {
+	if !p.usesFreshReports() {
+		return
+	}
+	for _, addr := range p.residents.unknown {
+		s := p.servers.FindServer(addr)
+		if s.PendingProbeAge(now) == 0 && (p.MayProbe == nil || p.MayProbe(now, s)) {
+			s.MarkProbeSent(now)
+			p.StartProbe(s)
+		}
+	}
+}
+
 // RequestSlot grants a free slot to req, queues req or refuses it.
 func (p *Pool) RequestSlot(now time.Time, req SlotRequest) {
 	req.Rank = min(req.Rank, parser.Patient)
@@ -272,8 +297,17 @@
 
 // RecordProbe records the result of a probe.
 func (p *Pool) RecordProbe(now time.Time, addr netip.AddrPort, r tracker.ProbeResult) {
-	if s := p.servers.FindServer(addr); s != nil {
-		p.servers.RecordProbeResult(now, s, r)
+	s := p.servers.FindServer(addr)
+	if s == nil || s.IsOther(r.ServerName) && s.PendingProbeAge(now) == 0 {
+		return // The probe was of a server that was replaced meanwhile.
+	}
+	p.servers.RecordProbeResult(now, s, r)
+	switch name := r.ServerName; {
+	case r.Unsent, name == "" && !r.Failed:
+	case p.residents.recordProbe(p.listed, addr, name):
+		p.applyTable(now, p.appliedTable)
+	}
+	if s = p.servers.FindServer(addr); s != nil {
 		p.updateCold(now)
 		p.recallUnfit(now, s)
 		p.dispatch(now)
--- a/internal/route/allocator/request.go
+++ b/internal/route/allocator/request.go
@@ -55,15 +55,18 @@
 
 // Reply is an answer to a slot request, or the recall of a kept slot.
 type Reply struct {
-	Number      uint64
-	Kind        ReplyKind
-	Server      netip.AddrPort
-	Slowdown    float64       // Reported slowdown of Server at the grant; 0 when unknown.
-	SlowdownAge time.Duration // Age of the report that gave the slowdown.
-	Cold        bool          // Server is cold, so the call must start within MaxColdDelay.
-	Wait        time.Duration // Time from the receipt of the request to the grant, if Cold is set.
-	MayKeep     bool          // The entry may keep the slot for its next call.
-	Reason      string
-	RetryAfter  time.Duration // Suggested delay before a retry of a refused request.
-	Load        *Load         // Load of the pool; nil when it is not reported.
+	Number uint64
+	Kind   ReplyKind
+	Server netip.AddrPort
+	// Name and ProcessStart are those of the server if the service has several at Server.
+	Name         string
+	ProcessStart uint64
+	Slowdown     float64       // Reported slowdown of Server at the grant; 0 when unknown.
+	SlowdownAge  time.Duration // Age of the report that gave the slowdown.
+	Cold         bool          // Server is cold, so the call must start within MaxColdDelay.
+	Wait         time.Duration // Time from the receipt of the request to the grant, if Cold is set.
+	MayKeep      bool          // The entry may keep the slot for its next call.
+	Reason       string
+	RetryAfter   time.Duration // Suggested delay before a retry of a refused request.
+	Load         *Load         // Load of the pool; nil when it is not reported.
 }
--- a/internal/route/allocator/session.go
+++ b/internal/route/allocator/session.go
@@ -170,7 +170,7 @@
 		server, _ := r.Server.MarshalBinary() // MarshalBinary never fails.
 		m.Kind = &messenger.Grant_Offer{Offer: &messenger.Offer{
 			Number: r.Number, Server: server, Keep: r.MayKeep, Pace: r.Slowdown, Age: int64(r.SlowdownAge), Cold: r.Cold, Wait: int64(r.Wait),
-			Load: load,
+			Load: load, Name: r.Name, Born: r.ProcessStart,
 		}}
 	case ReplyRecalled:
 		m.Kind = &messenger.Grant_Recall{Recall: &messenger.Recall{Number: r.Number}}
--- a/internal/route/allocator/usable.go
+++ b/internal/route/allocator/usable.go
@@ -19,9 +19,13 @@
 }
 
 // hasUsableServer reports whether a server outside avoid can get calls, now or
-// later: one that is neither leaving nor evacuated nor draining.
+// later: one that is neither leaving nor evacuated nor draining, nor displaced by another
+// server until its next probe.
 func (p *Pool) hasUsableServer(now time.Time, avoid []netip.AddrPort) bool {
 	for _, s := range p.servers.Servers() {
+		if s.IsDisplaced() && s.InProbeBackoff(now) {
+			continue
+		}
 		if st := s.State(now); st != tracker.Leaving && st != tracker.Evacuated && st != tracker.Draining && !slices.Contains(avoid, s.Address) {
 			return true
 		}
--- a/internal/route/allocator/worker.go
+++ b/internal/route/allocator/worker.go
@@ -54,7 +54,7 @@
 type poolWorker struct {
 	pool         Pool
 	routingTable *router.TableHolder
-	startProbe   func(service string, server netip.AddrPort)
+	startProbe   func(service string, server netip.AddrPort, lifetime withholder.Lifetime)
 	withholder   *withholder.Withholder
 	commands     chan *command
 	quit         chan struct{}
@@ -90,10 +90,16 @@
 	}
 }
 
-func (w *poolWorker) probeServer(s *tracker.Server) { w.startProbe(w.pool.Key.Service, s.Address) }
+func (w *poolWorker) probeServer(s *tracker.Server) {
+	w.startProbe(w.pool.Key.Service, s.Address, lifetimeOf(s))
+}
 
 func (w *poolWorker) mayProbeServer(now time.Time, s *tracker.Server) bool {
-	return !w.withholder.IsWithheld(now, withholder.Lifetime{Name: s.Name, ProcessStart: s.ProcessStart})
+	return !w.withholder.IsWithheld(now, lifetimeOf(s))
+}
+
+func lifetimeOf(s *tracker.Server) withholder.Lifetime {
+	return withholder.Lifetime{Name: s.Name, ProcessStart: s.ProcessStart}
 }
 
 // tick runs what is due. A panic ends this tick alone.
--- a/internal/route/router/table.go
+++ b/internal/route/router/table.go
@@ -136,6 +136,21 @@
 	return found
 }
 
+// FindProcess returns the backend server of service with the given name and process start,
+// or nil if there is none.
+func (t *RoutingTable) FindProcess(service, name string, start uint64) *BackendServer {
+	s := t.Services[service]
+	if s == nil {
+		return nil
+	}
+	for i := range s.Servers {
+		if b := &s.Servers[i]; b.Name == name && b.ProcessStart == start {
+			return b
+		}
+	}
+	return nil
+}
+
 // TableHolder holds the current routing table for concurrent use. The zero value holds an empty table.
 type TableHolder struct{ current atomic.Pointer[RoutingTable] }
 
--- a/internal/route/tracker/pool.go
+++ b/internal/route/tracker/pool.go
@@ -130,6 +130,11 @@
 		s.probeSentAt = time.Time{}
 		return
 	}
+	if s.IsOther(r.ServerName) {
+		p.recordDisplaced(now, s, r.ServerName)
+		return
+	}
+	s.displaced = s.displaced && r.Failed
 	sentAt := now.Add(-r.Age)
 	s.updateLoad(sentAt, r.ReportedCalls, s.inFlight)
 	s.updateSlowdown(sentAt, r.Slowdown)
--- a/internal/route/tracker/probestate.go
+++ b/internal/route/tracker/probestate.go
@@ -31,6 +31,24 @@
 // InProbeBackoff reports whether the server gets no calls because its last probe failed.
 func (s *Server) InProbeBackoff(now time.Time) bool { return now.Before(s.backoffUntil) }
 
+// IsOther reports whether name, which may be empty for an unknown one, is that of another
+// server.
+func (s *Server) IsOther(name string) bool { return name != "" && name != s.Name }
+
+// IsDisplaced reports whether another server answered the last probe, so that this one is
+// not at its address.
+func (s *Server) IsDisplaced() bool { return s.displaced }
+
+// recordDisplaced records that the server called name answered a probe of s. What it
+// reports says nothing of s.
+func (p *Pool) recordDisplaced(now time.Time, s *Server, name string) {
+	if !s.displaced {
+		p.note(now, s, "another server answered a probe", "at its address", "displaced by "+name)
+	}
+	s.displaced = true
+	s.recordProbe(now, true)
+}
+
 // updateSlowdown stores a reported slowdown unless an equally recent or later
 // report is known. A slowdown of 0 means that none was reported.
 func (s *Server) updateSlowdown(reportedAt time.Time, slowdown float64) {
--- a/internal/route/tracker/server.go
+++ b/internal/route/tracker/server.go
@@ -44,7 +44,8 @@
 	// ColdStated is set when the server states for how long it is cold, which is Cold.
 	ColdStated bool
 	Cold       time.Duration
-	Unsent     bool // No probe was sent, so nothing is known and another may start.
+	ServerName string // Name that the server that answered gives itself; empty when unknown.
+	Unsent     bool   // No probe was sent, so nothing is known and another may start.
 }
 
 // resultCounts holds the number of results and failures in one half of the failure
@@ -88,6 +89,7 @@
 	probeSentAt  time.Time // Time of the pending probe; zero when there is none.
 	backoffUntil time.Time
 	backoff      time.Duration
+	displaced    bool // The last probe was answered by another server.
 	coldStart    coldStart
 	silence      silence
 }
