--- a/internal/platform/watcher/follower.go
+++ b/internal/platform/watcher/follower.go
@@ -79,6 +79,7 @@
 			return err
 		}
 		w.applyHeldDeletions()
+		w.expireOverwritten()
 		s, _ := r.chooseSource(time.Now())
 		switch {
 		case stale && r.mayLeave(m.Name):
--- a/internal/platform/watcher/publication.go
+++ b/internal/platform/watcher/publication.go
@@ -12,7 +12,12 @@
 // servers. The caller must hold w.updateMu.
 func (w *Watcher) publishChanges(revision uint64, live, changed []Record) {
 	for _, r := range changed {
-		delete(w.decodedEntries, r.Key)
+		if d, known := w.decodedEntries[r.Key]; known && !r.Deleted {
+			d.changed = true
+			w.decodedEntries[r.Key] = d
+		} else {
+			delete(w.decodedEntries, r.Key)
+		}
 	}
 	orders := w.evacuations
 	list := &reader.List{Time: time.Now(), Entries: w.decodeEntries(live), Evacuated: w.decodeEvacuations(live)}
@@ -36,8 +41,10 @@
 // address: nothing in the records tells which of them is there.
 func (w *Watcher) decodeEntries(records []Record) []reader.Entry {
 	var out []reader.Entry
+	now := time.Now()
+	w.nextHoldEnd = time.Time{}
 	for _, r := range records {
-		if e, ok := w.decodeEntry(r); ok {
+		if e, ok := w.decodeEntry(now, r); ok {
 			out = append(out, e)
 		}
 	}
@@ -46,13 +53,20 @@
 
 // decodeEntry returns the backend server in r, decoded once for each change, and
 // records each new one in the audit trail.
-func (w *Watcher) decodeEntry(r Record) (reader.Entry, bool) {
-	if d, ok := w.decodedEntries[r.Key]; ok {
+func (w *Watcher) decodeEntry(now time.Time, r Record) (reader.Entry, bool) {
+	d, known := w.decodedEntries[r.Key]
+	if known && !d.changed {
+		d = w.endHold(now, r.Key, d)
 		return d.entry, d.ok
 	}
 	e, ok, err := w.Decoder.DecodeEntry(r)
 	w.logMalformed(r, err)
-	w.decodedEntries[r.Key] = decodedEntry{e, ok}
+	if err != nil {
+		w.decodedEntries[r.Key] = keepOverwritten(now, d)
+		d = w.endHold(now, r.Key, w.decodedEntries[r.Key])
+		return d.entry, d.ok
+	}
+	w.decodedEntries[r.Key] = decodedEntry{entry: e, ok: ok}
 	if ok {
 		state := "ready"
 		if e.Leaving {
--- a/internal/platform/watcher/source_reader.go
+++ b/internal/platform/watcher/source_reader.go
@@ -40,6 +40,7 @@
 	defer done.Done()
 	for ctx.Err() == nil {
 		r.applyHeldDeletions()
+		r.expireOverwritten()
 		r.readOnce(ctx)
 	}
 }
--- a/internal/platform/watcher/watcher.go
+++ b/internal/platform/watcher/watcher.go
@@ -69,7 +69,8 @@
 	latestList     atomic.Pointer[reader.List]
 	callCount      atomic.Int64
 	storeFailing   atomic.Bool
-	decodedEntries map[string]decodedEntry // Result of the decoding of each record that has not changed since, by key.
+	decodedEntries map[string]decodedEntry // Result of the decoding of each record, by key.
+	nextHoldEnd    time.Time               // First end of a hold in decodedEntries; zero for none.
 	evacuations    map[string]string       // Evacuated availability zone of each order, by key.
 	malformedKeys  map[string]bool         // Keys of malformed records that were logged.
 	nextStoreCall  time.Time               // No call to the store is made before this time.
@@ -92,8 +93,10 @@
 
 // decodedEntry is the result of decoding a record.
 type decodedEntry struct {
-	entry reader.Entry
-	ok    bool
+	entry     reader.Entry
+	ok        bool
+	changed   bool      // The record has changed since.
+	heldUntil time.Time // End of the hold after the record was overwritten; otherwise zero.
 }
 
 // confirmation says that the records at an epoch were known to equal those of the store.
