--- a/internal/platform/reader/list.go
+++ b/internal/platform/reader/list.go
@@ -13,6 +13,7 @@
 	PeerAddr     netip.AddrPort `json:"peer"`    // Address that accepts connections of other instances; not set for a backend server.
 	Zone         string         `json:"zone"`
 	Region       string         `json:"region"`
+	Unplaced     bool           `json:"-"`               // Zone is not one of those that the settings name.
 	Service      string         `json:"service"`         // Empty for an instance.
 	Leaving      bool           `json:"leaving"`         // Set when it is about to stop and takes no new calls.
 	ProcessStart uint64         `json:"born,omitempty"`  // Start time of a backend server's process, in a unit of the platform's choice; it distinguishes a new process from an earlier one with the same name.
--- a/internal/route/acquirer/poolindex.go
+++ b/internal/route/acquirer/poolindex.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 
 	"sardinelever.example/sardinelever/internal/route/allocator"
 	"sardinelever.example/sardinelever/internal/route/router"
@@ -14,7 +15,7 @@
 }
 
 // poolsByDistance lists the pools of a service by their distance from this instance.
-type poolsByDistance struct{ sameZone, sameRegion, otherRegions []pool }
+type poolsByDistance struct{ sameZone, sameRegion, otherRegions, unplaced []pool }
 
 // poolIndex lists the pools of every service in one version of the routing
 // table.
@@ -49,10 +50,13 @@
 // groupPools returns the pools of a service that have backend servers which take calls.
 // The number of shards counts the other ones too, as allocator.PoolMembers does.
 func (c *Client) groupPools(service string, s *router.Service) *poolsByDistance {
-	type location struct{ zone, region string }
+	type location struct {
+		zone, region string
+		unplaced     bool
+	}
 	serverCounts, activeCounts := make(map[location]int), make(map[location]int)
 	for i := range s.Servers {
-		loc := location{s.Servers[i].Zone, s.Servers[i].Region}
+		loc := location{s.Servers[i].Zone, s.Servers[i].Region, s.Servers[i].Unplaced}
 		serverCounts[loc]++
 		if s.Servers[i].TakesCalls() {
 			activeCounts[loc]++
@@ -62,6 +66,8 @@
 	for loc := range activeCounts {
 		group := &pools.otherRegions
 		switch {
+		case loc.unplaced:
+			group = &pools.unplaced
 		case loc.region == c.Region && loc.zone == c.Zone:
 			group = &pools.sameZone
 		case loc.region == c.Region:
@@ -76,7 +82,7 @@
 
 // choosePools returns the pools that a call may use: a random one of the nearest
 // pools to ask first, and the others to ask when the first has no free slot. Pools of
-// other regions are used only if this region has none.
+// other regions are used only if this region has none. Those of unplaced servers come last.
 func (p *poolsByDistance) choosePools() (first pool, others []pool, ok bool) {
 	if p == nil {
 		return pool{}, nil, false
@@ -88,6 +94,11 @@
 	if len(near) == 0 {
 		near = p.otherRegions
 	}
+	if len(near) == 0 {
+		near = p.unplaced
+	} else if len(p.unplaced) > 0 {
+		rest = slices.Concat(rest, p.unplaced)
+	}
 	if len(near) == 0 {
 		return pool{}, nil, false
 	}
--- a/internal/route/router/table.go
+++ b/internal/route/router/table.go
@@ -16,6 +16,7 @@
 	Address      netip.AddrPort
 	Zone         string
 	Region       string
+	Unplaced     bool // The settings do not name its availability zone; its pool is asked after all others.
 	Leaving      bool
 	Evacuated    bool   // Its availability zone is evacuated; it must get no requests.
 	ProcessStart uint64 // Start of the server process in a unit of the platform; 0 when unknown.
@@ -114,7 +115,7 @@
 		return
 	}
 	s.Servers = append(s.Servers, BackendServer{
-		Name: e.Name, Address: e.Address, Zone: e.Zone, Region: e.Region, Leaving: e.Leaving, ProcessStart: e.ProcessStart, Slots: e.Slots,
+		Name: e.Name, Address: e.Address, Zone: e.Zone, Region: e.Region, Unplaced: e.Unplaced, Leaving: e.Leaving, ProcessStart: e.ProcessStart, Slots: e.Slots,
 		Cold:      ColdStart{remaining: e.Cold, started: e.Started, sequence: e.Sequence},
 		Evacuated: slices.Contains(t.EvacuatedZones, e.Zone),
 	})
