--- a/cmd/sardinelever/file_checker.go
+++ b/cmd/sardinelever/file_checker.go
@@ -49,6 +49,7 @@
 			return c.addMistakes(err)
 		}
 		c.settings = append(c.settings, s)
+		c.addWarnings(f, s.Warnings)
 	case parser.ServiceFile:
 		c.services = append(c.services, f)
 	}
--- a/cmd/sardinelever/run.go
+++ b/cmd/sardinelever/run.go
@@ -11,6 +11,7 @@
 
 	"github.com/phuslu/log"
 
+	"sardinelever.example/sardinelever/internal/config/parser"
 	"sardinelever.example/sardinelever/internal/instance/runner"
 	"sardinelever.example/sardinelever/internal/operator/logger"
 	"sardinelever.example/sardinelever/platform"
@@ -34,7 +35,11 @@
 // signal ends the process at once; with the setting grace only SIGINT does, because the
 // shutdown ends in that time. SIGHUP reloads the settings.
 func (c *runCommand) Run(ctx context.Context, handler *signalHandler) error {
-	settings, err := readSettings(c.Settings)
+	text, err := os.ReadFile(c.Settings)
+	if err != nil {
+		return err
+	}
+	settings, err := parser.ParseSettings(c.Settings, text)
 	if err != nil {
 		return printMistakes(err)
 	}
@@ -49,15 +54,16 @@
 	if settings.Memory > 0 {
 		debug.SetMemoryLimit(int64(memoryLimitFraction * float64(settings.Memory) * (1 << 20)))
 	}
+	logWarnings(settings)
 	instance := &runner.Instance{Settings: settings}
 	if settings.Dialect == "cymdeithas" {
 		if instance.Platform, err = platform.New(settings); err != nil {
 			return err
 		}
 	}
-	reloader := &settingsReloader{path: c.Settings, instance: instance, signals: make(chan os.Signal, 1)}
+	reloader := &settingsReloader{path: c.Settings, instance: instance, signals: make(chan os.Signal, 1), text: text}
 	signal.Notify(reloader.signals, syscall.SIGHUP)
-	go reloader.reloadOnSignal()
+	go reloader.run()
 	return instance.Run(ctx)
 }
 
--- a/internal/call/retrier/hedge.go
+++ b/internal/call/retrier/hedge.go
@@ -184,10 +184,10 @@
 func (s *serviceState) takeHedgeToken(l *Limit) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.combined.spent+1 > max(l.Hedge*l.Capacity, 1) || !s.hedges.takeToken(l.Capacity) {
+	if s.combined.spent+1 > max(l.Hedge*l.Capacity, 1) || !s.hedges.takeToken(time.Now(), l.Capacity) {
 		return false
 	}
-	return s.combined.takeToken(l.Capacity)
+	return s.combined.takeToken(time.Now(), l.Capacity)
 }
 
 // refundHedgeToken returns the token of a hedge that was not sent, or of a retry that was
@@ -195,8 +195,8 @@
 func (s *serviceState) refundHedgeToken(retry bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.combined.refill(1)
+	s.combined.refund()
 	if !retry {
-		s.hedges.refill(1)
+		s.hedges.refund()
 	}
 }
--- a/internal/call/retrier/retrier_test.go
+++ b/internal/call/retrier/retrier_test.go
@@ -227,3 +227,31 @@
 		t.Errorf("got %d extra attempts for %d calls, want at most %d and nearly as many", got, calls, maxExtra)
 	}
 }
+
+// TestSmallLimit guards against a fleet whose instances each send a repeat although all of them
+// together may send fewer, or none, and against one without repeats although its calls allow
+// some.
+func TestSmallLimit(t *testing.T) {
+	const calls = 100
+	for _, tt := range []struct {
+		limit    retrier.Limit
+		min, max int // Extra attempts.
+	}{
+		{retrier.Limit{}, 0, 0},
+		{retrier.Limit{Share: 0.2}, 17, 20},
+		{retrier.Limit{Capacity: 0.9}, 0, 0},
+		{retrier.Limit{Share: 0.2, Capacity: 0.5}, 17, 20},
+		{retrier.Limit{Capacity: 1}, 1, 1},
+		{retrier.Limit{Share: 1.5, Capacity: 0.5}, 99, 100},
+	} {
+		r, attempts := &retrier.Retrier[int]{Limit: func() retrier.Limit { return tt.limit }}, 0
+		c := &retrier.Call[int]{Service: "s", Idempotent: true, Budget: 1}
+		c.Try = func(context.Context, *retrier.Attempt) (int, error) { attempts++; return 0, errRejected }
+		for range calls {
+			_, _ = r.Do(t.Context(), c)
+		}
+		if got := attempts - calls; got < tt.min || got > tt.max {
+			t.Errorf("%+v: got %d extra attempts for %d calls, want %d to %d", tt.limit, got, calls, tt.min, tt.max)
+		}
+	}
+}
--- a/internal/config/linter/linter.go
+++ b/internal/config/linter/linter.go
@@ -58,9 +58,9 @@
 func LintAttempts(b *parser.Bundle, s *parser.Settings, keys *parser.KeyLocator) []parser.Mistake {
 	l := &linter{keys: keys}
 	for i, r := range b.Rules {
-		if s.Retry.Slack > 0 && r.Attempts-1 > s.Retry.Slack {
-			l.warn(fmt.Sprintf("rules.%d.attempts", i), "%d attempts of %s are more than retry.slack %d of instance %s allows one call",
-				r.Attempts, ruleLabel(&r), s.Retry.Slack, s.Name)
+		if slack, ok := s.Retry.Slack.Get(); ok && float64(r.Attempts-1) > slack {
+			l.warn(fmt.Sprintf("rules.%d.attempts", i), "%d attempts of %s are more than retry.slack %v of instance %s allows one call",
+				r.Attempts, ruleLabel(&r), slack, s.Name)
 		}
 	}
 	return l.warnings
--- a/internal/config/linter/linter_test.go
+++ b/internal/config/linter/linter_test.go
@@ -76,7 +76,10 @@
 		t.Fatal(err)
 	}
 	keys := parser.NewKeyLocator(parser.File{Name: "b", Text: text})
-	for slack, want := range map[int]string{0: "", 2: "b:10: rules.attempts: retry.slack 2 of instance i", 3: ""} {
+	for slack, want := range map[parser.Option]string{
+		{}: "", parser.Some(0): "b:10: rules.attempts: retry.slack 0 of instance i", parser.Some(2): "b:10: rules.attempts: retry.slack 2 of instance i",
+		parser.Some(2.5): "b:10: rules.attempts: retry.slack 2.5 of instance i", parser.Some(3): "",
+	} {
 		compare(t, linter.LintAttempts(b, &parser.Settings{Name: "i", Retry: parser.Retry{Slack: slack}}, keys), want)
 	}
 }
--- a/internal/config/parser/check.go
+++ b/internal/config/parser/check.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"math"
 	"net/netip"
 	"net/url"
 	"os"
@@ -29,6 +28,10 @@
 	maxCapacity    = 1024.0 // More cores than a machine has.
 	minDescriptors = 64     // An idle instance has 14 open.
 	minMemoryMB    = 32     // The process itself takes about 20 MB.
+	maxMemoryMB    = 1 << 30
+	maxDescriptors = 1 << 30
+	maxRetryRatio  = 1e6 // Retries of one call.
+	maxRetrySlack  = 1e9
 
 	minCollect = 10 // Below that, collections take a large share of the processor time.
 	maxCollect = 1000
@@ -106,7 +109,7 @@
 
 // checkRange records a mistake if the file sets the key at path and v is not
 // between lowest and highest, inclusive.
-func checkRange[T int | float64 | Duration](c *checker, path string, v, lowest, highest T) {
+func checkRange[T int | float64 | Duration | Figure](c *checker, path string, v, lowest, highest T) {
 	if hasValue(c, path, v) && !(v >= lowest && v <= highest) { // The negated form also rejects NaN.
 		c.addMistake(path, "%v is not between %v and %v", printableNumber(v), printableNumber(lowest), printableNumber(highest))
 	}
@@ -123,6 +126,12 @@
 
 // checkName checks the required name v of an instance, zone, region or service.
 func (c *checker) checkName(path, v string) {
+	if c.rendered {
+		if c.requireKey(path) && !renderedName.MatchString(v) {
+			c.addMistake(path, "%q is empty, too long or has control characters", v)
+		}
+		return
+	}
 	if c.requireKey(path) && !namePattern.MatchString(v) {
 		c.addMistake(path, "%q is not a valid name; %s", v, nameRule)
 	}
@@ -152,23 +161,36 @@
 			c.addMistake("platform", "%q is not a URL with http or https and a host", s.Platform)
 		}
 	}
-	checkRange(c, "notice", s.Notice, Duration(time.Millisecond), Duration(time.Hour))
-	checkRange(c, "margin", s.Margin, Duration(minMargin), Duration(maxMargin))
+	limitRange(c, "notice", &s.Notice, Duration(time.Millisecond), Duration(time.Hour))
+	limitRange(c, "margin", &s.Margin, Duration(minMargin), Duration(maxMargin))
 	c.checkOneOf("policy", s.Policy, "grant", "random", "round", "least")
 	c.checkOneOf("level", s.Level, "debug", "info", "warn", "error")
 	c.checkOneOf("dialect", s.Dialect, "native", "cymdeithas")
-	checkRange(c, "grace", s.Grace, Duration(time.Millisecond), Duration(time.Hour))
-	checkRange(c, "memory", s.Memory, minMemoryMB, math.MaxInt)
-	checkRange(c, "collect", s.Collect, minCollect, maxCollect)
-	checkRange(c, "descriptors", s.Descriptors, minDescriptors, math.MaxInt)
-	checkRange(c, "capacity", s.Capacity, minCapacity, maxCapacity)
-	checkRange(c, "retry.ratio", s.Retry.Ratio, 0, 1)
-	checkRange(c, "retry.slack", s.Retry.Slack, 0, math.MaxInt)
-	checkRange(c, "retry.hedge", s.Retry.Hedge, 0, 1)
-	checkRange(c, "retry.window", s.Retry.Window, Duration(time.Second), Duration(time.Hour))
-	checkRange(c, "zones.price", s.Zones.Price, 0, Duration(time.Hour))
-	checkRange(c, "cold.overage", s.Cold.Overage, 0, maxColdFactor)
-	checkRange(c, "cold.slack", s.Cold.Slack, 0, MaxColdRate)
+	limitRange(c, "grace", &s.Grace, Duration(time.Millisecond), Duration(time.Hour))
+	limitRange(c, "collect", &s.Collect, minCollect, maxCollect)
+	for _, f := range []struct {
+		key             string
+		value           *Figure
+		lowest, highest Figure
+	}{
+		{"memory", &s.Memory, minMemoryMB, maxMemoryMB},
+		{"descriptors", &s.Descriptors, minDescriptors, maxDescriptors},
+		{"capacity", &s.Capacity, minCapacity, maxCapacity},
+	} {
+		if *f.value != 0 || !c.rendered { // A platform may state 0 where there is no limit.
+			limitRange(c, f.key, f.value, f.lowest, f.highest)
+		}
+	}
+	limitOption(c, "retry.ratio", &s.Retry.Ratio, 0, maxRetryRatio)
+	limitOption(c, "retry.slack", &s.Retry.Slack, 0, maxRetrySlack)
+	limitRange(c, "retry.hedge", &s.Retry.Hedge, 0, 1)
+	limitRange(c, "retry.window", &s.Retry.Window, Duration(time.Second), Duration(time.Hour))
+	limitRange(c, "zones.price", &s.Zones.Price, 0, Duration(time.Hour))
+	limitOption(c, "cold.overage", &s.Cold.Overage, 0, maxColdFactor)
+	limitOption(c, "cold.slack", &s.Cold.Slack, 0, MaxColdRate)
+	if c.rendered {
+		c.dropInvalidSeeds(s)
+	}
 	for i, seed := range s.Seeds {
 		if !seed.IsValid() || seed.Port() == 0 {
 			c.addMistake(joinPath("seeds", strconv.Itoa(i)), "%q is not an IP address with a port above 0", seed)
@@ -177,6 +199,17 @@
 	c.checkTLS(s)
 }
 
+// dropInvalidSeeds removes the seeds of s that are no addresses.
+func (c *checker) dropInvalidSeeds(s *Settings) {
+	s.Seeds = slices.DeleteFunc(s.Seeds, func(seed netip.AddrPort) bool {
+		if seed.IsValid() && seed.Port() > 0 {
+			return false
+		}
+		c.addWarning("seeds", seed, "no seed")
+		return true
+	})
+}
+
 // checkOneOf records a mistake if the file sets the key at path and v is not one
 // of the allowed words.
 func (c *checker) checkOneOf(path, v string, allowed ...string) {
--- a/internal/config/parser/decode.go
+++ b/internal/config/parser/decode.go
@@ -99,9 +99,7 @@
 // ParseSettings decodes and checks the settings of an instance and returns them
 // with defaults; file is the name used in errors. The error is a *MistakesError.
 func ParseSettings(file string, text []byte) (*Settings, error) {
-	s := new(Settings)
-	c := decode(file, text, s)
-	c.checkSettings(s)
+	s, c := decodeSettings(file, text)
 	if err := c.asError(); err != nil {
 		return nil, err
 	}
@@ -126,6 +124,8 @@
 	converted        bool            // The bundle was made from another format; see CheckConverted.
 	decodeFailed     bool            // The file was not decoded completely, so its values are not checked.
 	mistakes         []Mistake
+	rendered         bool // The file is one of settings that a platform rendered; see decodeSettings.
+	warnings         []Mistake
 }
 
 // decode decodes text into target, a pointer to a struct, and returns a checker
@@ -193,12 +193,16 @@
 	}
 }
 
-var textType = reflect.TypeFor[encoding.TextUnmarshaler]()
+var (
+	textType   = reflect.TypeFor[encoding.TextUnmarshaler]()
+	numberType = reflect.TypeFor[interface{ isNumber() }]()
+)
 
 // addTextKeys adds the keys of t, and of the types inside it, whose values are decoded
 // from text, as displayPath shows them.
 func addTextKeys(keys map[string]bool, path string, t reflect.Type) {
 	switch {
+	case reflect.PointerTo(t).Implements(numberType):
 	case reflect.PointerTo(t).Implements(textType):
 		keys[path] = true
 	case t.Kind() == reflect.Pointer || t.Kind() == reflect.Slice:
--- a/internal/config/parser/settings.go
+++ b/internal/config/parser/settings.go
@@ -21,30 +21,32 @@
 	Seeds   []netip.AddrPort `toml:"seeds,omitempty"`   // Instances to ask for the list of instances if that of the platform is empty.
 	Dialect string           `toml:"dialect,omitempty"` // Formats of platform data and of call headers: native or cymdeithas; empty means native.
 	Grace   Duration         `toml:"grace,omitempty"`   // Time between SIGTERM and the forced end of the process; 0 means none.
-	Memory  int              `toml:"memory,omitempty"`  // Memory of the process in MB; 0 means no limit.
+	Memory  Figure           `toml:"memory,omitempty"`  // Memory of the process in MB; 0 means no limit.
 	Collect int              `toml:"collect,omitempty"` // Growth of the heap between garbage collections in percent; 0 means that of the Go runtime.
 	Terms   []string         `toml:"terms,omitempty"`   // What the platform states to be in force, in its own words; only the adapter of the platform reads it.
 	// Descriptors is the most descriptors that the process may have open; 0 means no
 	// limit.
-	Descriptors int       `toml:"descriptors,omitempty"`
+	Descriptors Figure    `toml:"descriptors,omitempty"`
 	Retry       Retry     `toml:"retry,omitempty"`
 	Zones       Zones     `toml:"zones,omitempty"`
 	Cold        ColdBound `toml:"cold,omitempty"`
 	// Capacity is the processor time that the instance may use, relative to other
 	// instances. Those with more of it take on more work for the others; 0 means
 	// unknown.
-	Capacity  float64 `toml:"capacity,omitempty"`
-	Bootstrap bool    `toml:"bootstrap,omitempty"` // Set when the whole fleet starts for the first time.
+	Capacity  Figure `toml:"capacity,omitempty"`
+	Bootstrap bool   `toml:"bootstrap,omitempty"` // Set when the whole fleet starts for the first time.
 	// Regions maps zones to regions, for platforms that report only the zone of a
 	// backend server.
 	Regions map[string]string `toml:"regions,omitempty"`
+
+	Warnings []Mistake `toml:"-"` // What was replaced or left out of settings that a platform rendered.
 }
 
 // Retry limits the retries that all instances together send to one service in any
 // window: Ratio x number of calls + Slack.
 type Retry struct {
-	Ratio  float64  `toml:"ratio,omitempty"`  // 0 means 0.20.
-	Slack  int      `toml:"slack,omitempty"`  // 0 means 10 for each instance.
+	Ratio  Option   `toml:"ratio,omitempty"`  // Not set means 0.20.
+	Slack  Option   `toml:"slack,omitempty"`  // Not set means 10 for each instance.
 	Window Duration `toml:"window,omitempty"` // 0 means 10s; only checked, because the limit that instances apply holds for windows of any length.
 	Hedge  float64  `toml:"hedge,omitempty"`  // Share of the limit that hedges may use; 0 means that calls are not hedged.
 }
@@ -57,8 +59,8 @@
 // ColdBound limits the calls that all instances together send to one cold backend
 // server in any second: Overage x rate of its service + Slack.
 type ColdBound struct {
-	Overage float64 `toml:"overage,omitempty"` // 0 means no limit.
-	Slack   float64 `toml:"slack,omitempty"`
+	Overage Option `toml:"overage,omitempty"` // Not set means no limit.
+	Slack   Option `toml:"slack,omitempty"`   // Not set means 0.
 }
 
 // TLS names the files of certificate, key and CA certificates for the connections
--- a/internal/instance/runner/adapters.go
+++ b/internal/instance/runner/adapters.go
@@ -87,10 +87,20 @@
 // instances use; the rest is for instances that are not known yet.
 const retryBudgetFraction = 0.9
 
+// Retry budget of one instance that the settings do not state.
+const (
+	defaultRetryRatio = 0.20
+	defaultRetrySlack = 10.0
+)
+
 // retryLimit returns this instance's share of the common retry budget.
 func (c *components) retryLimit() retrier.Limit {
 	r := c.retrySettings.Load()
-	return retrier.Limit{Share: retryBudgetFraction * r.Ratio, Capacity: max(retryBudgetFraction*float64(r.Slack)/float64(c.fleetSize()), 1), Hedge: c.hedgeShare()}
+	l := retrier.Limit{Share: retryBudgetFraction * r.Ratio.Or(defaultRetryRatio), Capacity: defaultRetrySlack, Hedge: c.hedgeShare()}
+	if slack, ok := r.Slack.Get(); ok {
+		l.Capacity = retryBudgetFraction * slack / float64(c.fleetSize())
+	}
+	return l
 }
 
 // hedgeShare returns the share of the retry budget that hedges may use.
--- a/internal/instance/runner/components.go
+++ b/internal/instance/runner/components.go
@@ -105,7 +105,7 @@
 func (c *components) initFleet() {
 	s := c.settings
 	c.connector = connector.Connector{
-		Name: s.Name, Incarnation: c.incarnation, Zone: s.Zone, Region: s.Region, Capacity: s.Capacity, ListenAddr: s.Peers,
+		Name: s.Name, Incarnation: c.incarnation, Zone: s.Zone, Region: s.Region, Capacity: float64(s.Capacity), ListenAddr: s.Peers,
 		TLS: s.TLS, Plain: s.Plain, Audit: &c.audit, OnPeerLost: c.members.HandleLostSession, WrapListener: c.limitPeers,
 		Handlers: map[connector.StreamKind]connector.Handler{
 			connector.ControlStream: &c.members,
@@ -115,7 +115,7 @@
 		},
 	}
 	c.members = registrar.Registrar{
-		Name: s.Name, Incarnation: c.incarnation, Zone: s.Zone, Region: s.Region, Capacity: s.Capacity, PeerAddr: s.Peers, Seeds: s.Seeds,
+		Name: s.Name, Incarnation: c.incarnation, Zone: s.Zone, Region: s.Region, Capacity: float64(s.Capacity), PeerAddr: s.Peers, Seeds: s.Seeds,
 		StreamOpener: &c.connector, Audit: &c.audit, MessageHandlers: []registrar.MessageHandler{&c.distributor, probeResultHandler{c}},
 		PauseCheck: c.pauseDetector.CheckPause,
 	}
--- a/internal/instance/runner/failure_test.go
+++ b/internal/instance/runner/failure_test.go
@@ -84,7 +84,7 @@
 func (d *deployment) startInstance() {
 	p := httptest.NewServer(&d.platform)
 	ctx, cancel := context.WithCancel(context.Background())
-	settings := &parser.Settings{Name: "one", Zone: "a", Platform: p.URL, Notice: parser.Duration(time.Millisecond), Plain: true, Memory: d.memory}
+	settings := &parser.Settings{Name: "one", Zone: "a", Platform: p.URL, Notice: parser.Duration(time.Millisecond), Plain: true, Memory: parser.Figure(d.memory)}
 	if err := launcher.ReservePorts(settings); err != nil {
 		d.t.Fatal(err)
 	}
--- a/internal/instance/runner/limits.go
+++ b/internal/instance/runner/limits.go
@@ -14,7 +14,7 @@
 
 // initLimiter sets the limits of the machine.
 func (c *components) initLimiter() {
-	c.limiter.Memory, c.limiter.Descriptors, c.limiter.Log = int64(c.settings.Memory)<<20, c.settings.Descriptors, c.log
+	c.limiter.Memory, c.limiter.Descriptors, c.limiter.Log = int64(float64(c.settings.Memory)*(1<<20)), int(c.settings.Descriptors), c.log
 	meter.RegisterHeldBytes(c.metricsRegistry, c.limiter.Held)
 	for r, name := range limiter.Reasons {
 		meter.RegisterClosedConns(c.metricsRegistry, name, func() uint64 { return c.limiter.ClosedCount(limiter.Reason(r)) })
--- a/internal/route/acquirer/cold_test.go
+++ b/internal/route/acquirer/cold_test.go
@@ -20,7 +20,7 @@
 	s.Cold.Rate = 2.5
 	s.Servers[0].Cold = router.ColdStart{Since: start, Until: start.Add(time.Minute)}
 	for _, in := range f.instances {
-		in.Allocator.ColdLimits = allocator.ColdLimits{Bound: parser.ColdBound{Overage: 1.5, Slack: 8}}
+		in.Allocator.ColdLimits = allocator.ColdLimits{Bound: parser.ColdBound{Overage: parser.Some(1.5), Slack: parser.Some(8)}}
 	}
 	for _, in := range f.instances { // One of them is the home.
 		slot, err := in.Acquire(t.Context(), acquirer.Request{Service: "guidance", Deadline: start.Add(time.Minute)})
--- a/internal/route/allocator/cold.go
+++ b/internal/route/allocator/cold.go
@@ -57,10 +57,11 @@
 // newColdRate returns the rate for a service: perSecond, or less where the calls of
 // coldHomes homes could exceed the limit of b in any second.
 func newColdRate(perSecond float64, b parser.ColdBound) coldRate {
-	if perSecond <= 0 || b.Overage <= 0 {
+	overage, isLimited := b.Overage.Get()
+	if perSecond <= 0 || !isLimited {
 		return coldRate{}
 	}
-	share := int(perSecond*b.Overage+b.Slack) / coldHomes
+	share := int(perSecond*overage+b.Slack.Or(0)) / coldHomes
 	r := coldRate{outstanding: max(int(coldOutstandingShare*float64(share)), 1)}
 	// In a window of this length, in which the calls that arrive within a second were
 	// granted, n grants have at least a distance of window/n.
--- a/internal/route/allocator/cold_test.go
+++ b/internal/route/allocator/cold_test.go
@@ -85,7 +85,7 @@
 	h := &coldHome{coldFleet: f}
 	h.pool = &allocator.Pool{
 		Key: allocator.PoolKey{Service: "s", Zone: "a"}, Jitter: func() float64 { return 1 }, StartProbe: h.startProbe,
-		ColdLimits: allocator.ColdLimits{Bound: parser.ColdBound{Overage: 1.5, Slack: 8}, FleetShare: share},
+		ColdLimits: allocator.ColdLimits{Bound: parser.ColdBound{Overage: parser.Some(1.5), Slack: parser.Some(8)}, FleetShare: share},
 	}
 	f.homes = append(f.homes, h)
 	h.applyTable()
--- a/internal/standin/launcher/launcher.go
+++ b/internal/standin/launcher/launcher.go
@@ -56,12 +56,18 @@
 	if err := ReservePorts(settings); err != nil {
 		return nil, err
 	}
-	settingsTOML, err := toml.Marshal(settings)
+	text, err := toml.Marshal(settings)
 	if err != nil {
 		return nil, errors.Wrap(err, "settings")
 	}
+	return l.StartInstanceText(settings, text)
+}
+
+// StartInstanceText is StartInstance with text as the settings file. Of settings, it uses the
+// name, and the Instance the listeners.
+func (l *Launcher) StartInstanceText(settings *parser.Settings, text []byte) (*Instance, error) {
 	settingsPath := filepath.Join(l.Dir, settings.Name+".toml")
-	if err := os.WriteFile(settingsPath, settingsTOML, 0o600); err != nil {
+	if err := os.WriteFile(settingsPath, text, 0o600); err != nil {
 		return nil, errors.Wrap(err, "settings")
 	}
 	instance := &Instance{Settings: settings, LogPath: filepath.Join(l.Dir, settings.Name+".log"), exited: make(chan struct{})}
