--- a/internal/platform/watcher/overwritten.go
+++ b/internal/platform/watcher/overwritten.go
@@ -1,36 +1,49 @@
 package watcher
 
-import "time"
+import (
+	"time"
+
+	"sardinelever.example/sardinelever/internal/platform/reader"
+)
 
 // overwriteHold is the time for which a backend server stays in the list after another
-// writer has replaced its record by a value that describes no server. A server that runs
-// writes its record again within it: the platform takes one that does not for gone.
+// writer has replaced its record by a value that describes no server, or one of another
+// service. A server that runs writes its record again within it: the platform takes one that
+// does not for gone.
 const overwriteHold = 4500 * time.Millisecond
 
-// keepOverwritten returns the entry to use for a record whose value cannot be decoded;
-// previous is that of the value before.
-func keepOverwritten(now time.Time, previous decodedEntry) decodedEntry {
-	if !previous.ok {
-		return decodedEntry{}
-	}
-	if previous.heldUntil.IsZero() {
-		previous.heldUntil = now.Add(overwriteHold)
+// heldEntry is the entry of a record before it was overwritten.
+type heldEntry struct {
+	reader.Entry
+	until time.Time // Zero if no entry is held.
+}
+
+// holdOverwritten returns the entry to hold when the record of previous changes to that of
+// next, or to one that describes no server if ok is false. Values that follow do not extend
+// the time.
+func holdOverwritten(now time.Time, previous decodedEntry, next reader.Entry, ok bool) heldEntry {
+	switch held := previous.held; {
+	case !held.until.IsZero() && ok && next.Service == held.Service:
+		return heldEntry{} // The server has written its record again.
+	case !held.until.IsZero():
+		return held
+	case previous.ok && (!ok || next.Service != previous.entry.Service):
+		return heldEntry{previous.entry, now.Add(overwriteHold)}
 	}
-	previous.changed = false
-	return previous
+	return heldEntry{}
 }
 
-// endHold removes the entry in d from the list once its hold is over. The caller must hold
-// w.updateMu.
+// endHold removes the held entry of the record with the given key once its time is over. The
+// caller must hold w.updateMu.
 func (w *Watcher) endHold(now time.Time, key string, d decodedEntry) decodedEntry {
 	switch {
-	case d.heldUntil.IsZero():
-	case !now.Before(d.heldUntil):
-		d = decodedEntry{}
+	case d.held.until.IsZero():
+	case !now.Before(d.held.until):
+		d.held = heldEntry{}
 		w.decodedEntries[key] = d
 		w.Log.Warn().Str("key", key).Msg("platform: server whose record was overwritten is no longer used")
-	case w.nextHoldEnd.IsZero() || d.heldUntil.Before(w.nextHoldEnd):
-		w.nextHoldEnd = d.heldUntil
+	case w.nextHoldEnd.IsZero() || d.held.until.Before(w.nextHoldEnd):
+		w.nextHoldEnd = d.held.until
 	}
 	return d
 }
--- a/internal/platform/watcher/publication.go
+++ b/internal/platform/watcher/publication.go
@@ -37,36 +37,36 @@
 	}
 }
 
-// decodeEntries returns the backend servers in records. Several of them can have one
-// address: nothing in the records tells which of them is there.
+// decodeEntries returns the backend servers in records, and those whose records were
+// overwritten shortly before. Several of them can have one address: nothing in the records
+// tells which of them is there.
 func (w *Watcher) decodeEntries(records []Record) []reader.Entry {
 	var out []reader.Entry
 	now := time.Now()
 	w.nextHoldEnd = time.Time{}
 	for _, r := range records {
-		if e, ok := w.decodeEntry(now, r); ok {
-			out = append(out, e)
+		d := w.endHold(now, r.Key, w.decodeEntry(now, r))
+		if d.ok {
+			out = append(out, d.entry)
+		}
+		if !d.held.until.IsZero() {
+			out = append(out, d.held.Entry)
 		}
 	}
 	return out
 }
 
-// decodeEntry returns the backend server in r, decoded once for each change, and
+// decodeEntry returns what r says of a backend server, decoded once for each change, and
 // records each new one in the audit trail.
-func (w *Watcher) decodeEntry(now time.Time, r Record) (reader.Entry, bool) {
+func (w *Watcher) decodeEntry(now time.Time, r Record) decodedEntry {
 	d, known := w.decodedEntries[r.Key]
 	if known && !d.changed {
-		d = w.endHold(now, r.Key, d)
-		return d.entry, d.ok
+		return d
 	}
 	e, ok, err := w.Decoder.DecodeEntry(r)
 	w.logMalformed(r, err)
-	if err != nil {
-		w.decodedEntries[r.Key] = keepOverwritten(now, d)
-		d = w.endHold(now, r.Key, w.decodedEntries[r.Key])
-		return d.entry, d.ok
-	}
-	w.decodedEntries[r.Key] = decodedEntry{entry: e, ok: ok}
+	d = decodedEntry{entry: e, ok: ok, held: holdOverwritten(now, d, e, ok)}
+	w.decodedEntries[r.Key] = d
 	if ok {
 		state := "ready"
 		if e.Leaving {
@@ -74,7 +74,7 @@
 		}
 		w.auditRecord(r.Key, state+" at "+e.Address.String()+" for "+e.Service, r.Revision)
 	}
-	return e, ok
+	return d
 }
 
 // offerBundle passes the bundle in r, if any, to BundleSink.
--- a/internal/platform/watcher/watcher.go
+++ b/internal/platform/watcher/watcher.go
@@ -94,10 +94,10 @@
 
 // decodedEntry is the result of decoding a record.
 type decodedEntry struct {
-	entry     reader.Entry
-	ok        bool
-	changed   bool      // The record has changed since.
-	heldUntil time.Time // End of the hold after the record was overwritten; otherwise zero.
+	entry   reader.Entry
+	ok      bool
+	changed bool // The record has changed since.
+	held    heldEntry
 }
 
 // confirmation says that the records at an epoch were known to equal those of the store.
