--- a/internal/route/allocator/pool.go
+++ b/internal/route/allocator/pool.go
@@ -122,7 +122,7 @@
 	if s := table.Services[p.Key.Service]; s != nil {
 		p.config = s.Service.WithDefaults()
 		p.listed, p.shared = PoolMembers(s, p.Key), sharedAddresses(s)
-		members = p.residents.chooseMembers(p.listed, p.servers.FindServer)
+		members = p.residents.chooseMembers(p.listed, func(addr netip.AddrPort) *tracker.Server { return p.findProbeable(now, addr) })
 		p.slotRatio = serviceSlotRatio(s, members)
 	}
 	p.setColdRate(newColdRate(p.config.Cold.Rate, p.ColdLimits.Bound))
@@ -167,6 +167,15 @@
 	p.dispatch(now)
 }
 
+// findProbeable returns the server that the pool has at addr, if it may be probed now.
+func (p *Pool) findProbeable(now time.Time, addr netip.AddrPort) *tracker.Server {
+	s := p.servers.FindServer(addr)
+	if s == nil || !p.usesFreshReports() || p.MayProbe != nil && !p.MayProbe(now, s) {
+		return nil
+	}
+	return s
+}
+
 // probeUnknown probes the servers that were chosen for addresses of several servers without
 // an answer that says which of them is there.
 func (p *Pool) probeUnknown(now time.Time) {
--- a/internal/route/allocator/residents.go
+++ b/internal/route/allocator/residents.go
@@ -21,8 +21,8 @@
 }
 
 // chooseMembers returns members with one server for each address: the one that answered
-// there last; before an answer the one that the pool has, which current returns, if that
-// still works; otherwise the one that started last. Leaving servers count only where all
+// there last; before an answer the one that the pool has, which current returns if it may be
+// probed; otherwise the one that started last. Leaving servers count only where all
 // servers of an address leave.
 func (r *residents) chooseMembers(members []router.BackendServer, current func(netip.AddrPort) *tracker.Server) []router.BackendServer {
 	r.unknown = nil
--- a/internal/route/allocator/residents_test.go
+++ b/internal/route/allocator/residents_test.go
@@ -103,6 +103,24 @@
 	}
 }
 
+// TestSharedAddressUnprobed guards against an earlier server that keeps the address of a later
+// one, because it may not be probed or no server can be.
+func TestSharedAddressUnprobed(t *testing.T) {
+	one, two := router.BackendServer{Name: "one", ProcessStart: 10}, router.BackendServer{Name: "two", ProcessStart: 20}
+	for name, prepare := range map[string]func(*allocator.Pool){
+		"no probes":      func(p *allocator.Pool) { p.StartProbe = nil },
+		"none of it now": func(p *allocator.Pool) { p.MayProbe = func(_ time.Time, s *tracker.Server) bool { return s.Name != "one" } },
+	} {
+		p := newSharedAddressPool("two")
+		prepare(&p.pool)
+		p.list(one)
+		p.list(one, two)
+		if got := p.granted(); got != "two" {
+			t.Errorf("%s: got a slot of %q, want %q", name, got, "two")
+		}
+	}
+}
+
 // TestSharedAddressChanges guards against an answer that is held against a server after the
 // address has passed on, and against a server that stays out of use after one wrong answer.
 func TestSharedAddressChanges(t *testing.T) {
