--- a/internal/route/allocator/residents_test.go
+++ b/internal/route/allocator/residents_test.go
@@ -108,8 +108,10 @@
 func TestSharedAddressUnprobed(t *testing.T) {
 	one, two := router.BackendServer{Name: "one", ProcessStart: 10}, router.BackendServer{Name: "two", ProcessStart: 20}
 	for name, prepare := range map[string]func(*allocator.Pool){
-		"no probes":      func(p *allocator.Pool) { p.StartProbe = nil },
-		"none of it now": func(p *allocator.Pool) { p.MayProbe = func(_ time.Time, s *tracker.Server) bool { return s.Name != "one" } },
+		"no probes": func(p *allocator.Pool) { p.StartProbe = nil },
+		"none of it now": func(p *allocator.Pool) {
+			p.MayProbe = func(_ time.Time, s *tracker.Server) bool { return s.Name != "one" }
+		},
 	} {
 		p := newSharedAddressPool("two")
 		prepare(&p.pool)
