--- a/internal/route/allocator/residents.go
+++ b/internal/route/allocator/residents.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"net/netip"
+	"time"
 
 	"sardinelever.example/sardinelever/internal/route/router"
 	"sardinelever.example/sardinelever/internal/route/tracker"
@@ -121,3 +122,47 @@
 	maps.DeleteFunc(known, func(_ netip.AddrPort, shared bool) bool { return !shared })
 	return known
 }
+
+// findProbeable returns the server that the pool has at addr, if it may be probed now.
+func (p *Pool) findProbeable(now time.Time, addr netip.AddrPort) *tracker.Server {
+	s := p.servers.FindServer(addr)
+	if s == nil || !p.usesFreshReports() || p.MayProbe != nil && !p.MayProbe(now, s) {
+		return nil
+	}
+	return s
+}
+
+// probeUnknown probes the servers that were chosen for addresses of several servers without
+// an answer that says which of them is there.
+func (p *Pool) probeUnknown(now time.Time) {
+	if !p.usesFreshReports() {
+		return
+	}
+	for _, addr := range p.residents.unknown {
+		s := p.servers.FindServer(addr)
+		if s.PendingProbeAge(now) == 0 && (p.MayProbe == nil || p.MayProbe(now, s)) {
+			s.MarkProbeSent(now)
+			p.StartProbe(s)
+		}
+	}
+}
+
+// RecordProbe records the result of a probe.
+func (p *Pool) RecordProbe(now time.Time, addr netip.AddrPort, r tracker.ProbeResult) {
+	s := p.servers.FindServer(addr)
+	if s == nil || s.IsOther(r.ServerName) && s.PendingProbeAge(now) == 0 {
+		return // The probe was of a server that was replaced meanwhile.
+	}
+	p.servers.RecordProbeResult(now, s, r)
+	switch name := r.ServerName; {
+	case r.Unsent, name == "" && !r.Failed:
+	case p.residents.recordProbe(p.listed, addr, name):
+		p.applyTable(now, p.appliedTable)
+	}
+	if s = p.servers.FindServer(addr); s != nil {
+		p.updateCold(now)
+		p.recallUnfit(now, s)
+		p.dispatch(now)
+		p.notifyAllQueued(now)
+	}
+}
